--- a/include/robinfold/policy.h
+++ b/include/robinfold/policy.h
@@ -187,6 +187,8 @@
   Policy(Policy&&) noexcept;
   Policy& operator=(Policy&&) noexcept;
   void handle(Millis now, const Event& event, std::vector<Action>& out);
+  // For operators: what was decided and why, by name; figures of now under "now.". Nothing decides by it.
+  std::map<std::string, double> tally() const;
 
  private:
   class State;
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -2,9 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <iomanip>
 #include <map>
 #include <ostream>
+#include <sstream>
 #include <string>
+#include <utility>
 
 namespace lotusyard::core {
 
@@ -19,8 +22,27 @@
     for (const auto& [name, value] : values_) out << name << ' ' << value << '\n';
     out.flush();
   }
+  // One line: what was counted since the last such line, then the module's tally (figures "now." as they are).
+  // Nothing if nothing was counted.
+  std::string status(const std::map<std::string, double>& tally) {
+    std::ostringstream line;
+    for (const auto& [name, value] : values_) {
+      const auto more = value - std::exchange(told_[name], value);
+      if (more > 0) line << ' ' << name << '=' << more;
+    }
+    if (line.tellp() == std::streampos(0)) return {};
+    line << std::setprecision(4);
+    for (const auto& [name, value] : tally) {
+      const bool as_it_is = name.compare(0, 4, "now.") == 0;
+      const double more = as_it_is ? value : value - std::exchange(told_tally_[name], value);
+      if (more > 0) line << ' ' << name << '=' << more;
+    }
+    return "status" + line.str();
+  }
 
  private:
+  std::map<std::string, std::uint64_t> told_;
+  std::map<std::string, double> told_tally_;
   std::map<std::string, std::uint64_t> values_;
 };
 
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -33,6 +33,7 @@
   void tick();
   Millis next_due() const;
   std::size_t open() const { return calls_.size(); }
+  std::map<std::string, double> tally() const { return module_.tally(); }
 
  private:
   struct Out {
--- a/src/core/module.h
+++ b/src/core/module.h
@@ -2,6 +2,7 @@
 // now, requests held till now included. The module's events and actions stay on this side.
 #pragma once
 
+#include <map>
 #include <queue>
 #include <string>
 #include <variant>
@@ -81,6 +82,7 @@
   Steps report(Millis now, const Reported& what);
   Steps tick(Millis now);  // everything that is due
   Millis next_tick() const;
+  std::map<std::string, double> tally() const { return policy_.tally(); }
 
  private:
   struct Due {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -24,6 +24,7 @@
 constexpr Millis kListenFor{500};   // new connections for at most 0.4 s of these
 constexpr Millis kLeastKill{3000};  // SIGKILL comes no sooner than the longest deadline, or this, plus 0.7 s
 constexpr Millis kKillSlack{600};
+constexpr Millis kStatusPace{5000};  // of the log's status lines
 constexpr std::size_t kOwnDescriptors = 20;  // standard streams, the listener, the change log and the like
 
 volatile std::sig_atomic_t g_terminate = 0, g_print = 0, g_reread = 0;
@@ -175,9 +176,17 @@
     std::cout << "lotusyard " << config.name << " takes triggers from " << config.amqp->broker << std::endl;
   }
 
-  Millis told_to_end{0};
+  const auto log_status = [&] {
+    const std::string line = counters.status(dispatcher.tally());
+    if (!line.empty()) std::cout << line << std::endl;
+  };
+  Millis told_to_end{0}, status_at = loop.now() + kStatusPace;
   while (true) {
-    Millis due = dispatcher.next_due();
+    Millis due = std::min(dispatcher.next_due(), status_at);
+    if (loop.now() >= status_at) {
+      status_at = loop.now() + kStatusPace;
+      log_status();
+    }
     if (told_to_end.count() > 0) due = std::min(due, loop.now() + Millis(20));
     loop.turn(due, [&] { dispatcher.tick(); });
     if (g_print != 0) {
@@ -202,6 +211,7 @@
   }
   if (triggers) triggers->close();
   loop.turn(loop.now(), [] {});
+  log_status();
   counters.print(std::cout);
   return 0;
 }
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -133,11 +133,32 @@
     out_ = &out;
     std::visit([this](const auto& e) { on(e); }, event);
   }
+  std::map<std::string, double> tally() const {
+    auto told = tally_;
+    double limit = 0, stretch = 0, ready = 0, ejected = 0;
+    for (const auto& w : workers_) {
+      if (w.state != WorkerState::ready) continue;
+      ready += 1;
+      ejected += !usable(w);
+      limit += w.limit;
+      stretch += stretch_of(w);
+      told["now.inflight"] += w.inflight;
+    }
+    for (const auto& f : functions_) told["now.held"] += static_cast<double>(f->queue.size());
+    told["now.workers"] = ready;
+    told["now.unusable"] = ejected;
+    told["now.mean_limit"] = ready > 0 ? limit / ready : 0;
+    told["now.mean_stretch"] = ready > 0 ? stretch / ready : 0;
+    told["now.run_ms"] = any_run_.value;
+    told["now.load_ms"] = any_load_.value;
+    return told;
+  }
 
  private:
   Settings s_;
   Millis now_{kNever};
   std::vector<Action>* out_ = nullptr;
+  std::map<std::string, double> tally_;
   bool live_ = false, reports_queue_ = false;
   std::mt19937_64 random_;
   std::vector<Worker> workers_;
@@ -685,8 +706,22 @@
     for (const auto serial : std::vector<std::uint64_t>(f.queue.begin(), f.queue.end())) {
       Request& r = requests_.at(serial);
       const bool too_late = now_ + Millis(base_of(f)) > r.deadline;
-      if (too_late || !(loading || worth_holding(r))) give_up(r);
+      if (!too_late && (loading || worth_holding(r))) continue;
+      tally_[std::string("shed.") + held_by(f, r)] += 1;
+      give_up(r);
+    }
+  }
+  const char* held_by(const Function& f, const Request& r) {  // what keeps it from a worker believed warm
+    const char* reason = "no_copy";
+    for (const auto& c : f.copies) {
+      const Worker& w = worker(c);
+      if (!warm(c)) reason = c.loading > 0 ? "loading" : reason;
+      else if (!usable(w) || !serves(w, r.cls)) reason = "unhealthy";
+      else if (now_ < w.full_until) reason = "worker_full";
+      else if (w.inflight >= w.limit) return "own_limit";
+      else return c.busy >= c.standing * f.lanes ? "lanes_busy" : "too_stretched";
     }
+    return reason;
   }
 
   void on(const event::Request& e) {
@@ -820,7 +855,10 @@
     const bool spent = static_cast<int>(r.attempts.size()) >= s_.max_attempts;
     const auto fit = [&](const Worker& w) { return may_repeat(r, &w); };
     const bool any = std::any_of(workers_.begin(), workers_.end(), fit);
-    if (spent || (!any && !may_repeat(r, nullptr)) || !worth_holding(r)) return give_up(r);
+    if (spent || (!any && !may_repeat(r, nullptr)) || !worth_holding(r)) {
+      tally_["gave_up_after_attempt"] += 1;
+      return give_up(r);
+    }
     hold(r, true);
   }
 
@@ -981,6 +1019,7 @@
 Policy::~Policy() = default;
 Policy::Policy(Policy&&) noexcept = default;
 Policy& Policy::operator=(Policy&&) noexcept = default;
+std::map<std::string, double> Policy::tally() const { return state_->tally(); }
 void Policy::handle(Millis now, const Event& event, std::vector<Action>& out) {
   state_->handle(now, event, out);
 }
