Leave answers that waited for a load out of R and stretch

Where answers don't tell whether a copy stood (TellsWarm false) each one counted as a run. An invoker that is quiet meets a load in most of its functions, so R grew to four times a run and hosts looked stretched though idle: calls were refused as shed.too_stretched and shed.no_copy.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -30,6 +30,7 @@
 constexpr double kRunGain = 0.1;      // EWMA gain of R: about the last ten answers
 constexpr double kLoadGain = 0.3;     // EWMA gain of L: loads are few
 constexpr double kOutlier = 4;        // one sample counts at most as this many times the average
+constexpr double kLoadShows = 2.5;    // an answer after so many usual runs, of a copy not known to stand, had a load
 constexpr double kStretchGain = 0.3;  // EWMA gain of a worker's stretch: a router hears from one seldom
 constexpr double kStretchMost = 20;   // a stretch counts at most as this
 constexpr double kErrorGain = 0.4;    // EWMA gain of a class's failures at one worker: two exclude it
@@ -109,7 +110,8 @@
   int worker = 0;
   Millis sent{0};
   AttemptState state = AttemptState::out;
-  bool lost = false;  // out for so long that it counts as unanswered
+  bool proven = false, first = false;  // as sent: the copy was known to stand; it was the only call there
+  bool lost = false;                   // out for so long that it counts as unanswered
 };
 struct Request {
   std::string id;
@@ -135,20 +137,15 @@
   }
   std::map<std::string, double> tally() const {
     auto told = tally_;
-    double limit = 0, stretch = 0, ready = 0, ejected = 0;
     for (const auto& w : workers_) {
       if (w.state != WorkerState::ready) continue;
-      ready += 1;
-      ejected += !usable(w);
-      limit += w.limit;
-      stretch += stretch_of(w);
+      told["now.workers"] += 1;
+      told["now.unusable"] += !usable(w);
+      told["now.sum_limit"] += w.limit;
+      told["now.sum_stretch"] += stretch_of(w);
       told["now.inflight"] += w.inflight;
     }
     for (const auto& f : functions_) told["now.held"] += static_cast<double>(f->queue.size());
-    told["now.workers"] = ready;
-    told["now.unusable"] = ejected;
-    told["now.mean_limit"] = ready > 0 ? limit / ready : 0;
-    told["now.mean_stretch"] = ready > 0 ? stretch / ready : 0;
     told["now.run_ms"] = any_run_.value;
     told["now.load_ms"] = any_load_.value;
     return told;
@@ -675,7 +672,7 @@
     Worker& w = worker(c);
     unhold(r);
     act(action::Send{r.id, w.worker, r.deadline - now_});
-    r.attempts.push_back({c.worker, now_, AttemptState::out});
+    r.attempts.push_back({c.worker, now_, AttemptState::out, c.proven, c.busy == 0});
     if (w.inflight++ == 0) w.heard = now_;
     ++c.busy;
     c.used = now_;
@@ -799,7 +796,9 @@
     const double elapsed = std::max(e.elapsed.count(), 0.0);
     switch (e.outcome) {
       case Outcome::ok: {
-        if (e.warmth == Warmth::stood || e.warmth == Warmth::untold) {
+        const Attempt& a = r.attempts[static_cast<std::size_t>(e.attempt)];
+        const bool loaded = e.warmth == Warmth::untold ? shows_load(a, w, r, elapsed) : e.warmth != Warmth::stood;
+        if (!loaded) {
           f.run.add(elapsed, kRunGain, kOutlier);
           any_run_.add(elapsed, kRunGain / 4, kOutlier);
           drift(f.base, f.run.value);
@@ -809,7 +808,7 @@
             drift(record.base, record.run.value);
           }
           note_stretch(w, elapsed / base_of(f));
-        } else if (e.warmth == Warmth::began) {
+        } else if (e.warmth == Warmth::began || (e.warmth == Warmth::untold && a.first && !a.proven)) {
           note_load(f, std::max(elapsed - run_of(f), 1.0));
         }
         judge(w, r.cls, false);
@@ -842,6 +841,13 @@
       default: break;
     }
   }
+  // Danger: where answers don't tell of loads, one that waited for a load looks like a run many times as long:
+  // taken for one, it inflates R and stretch, and warm workers are sent nothing. A copy known to stand may have
+  // been pushed out; past any usual stretch that is taken to be so.
+  bool shows_load(const Attempt& a, const Worker& w, const Request& r, double elapsed) const {
+    const double usual = work_of(r) * (a.proven ? kOutlier * std::max(1.0, stretch_of(w)) : kLoadShows);
+    return elapsed > usual;
+  }
   static void drift(double& base, double run) { base = base > 0 ? std::min(base * kBaseDrift, run) : run; }
   void end_load(Copy& c) {
     loads_out_ -= c.loading;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -246,6 +246,30 @@
   EXPECT_NE(r.sends.back().worker, bad);
 }
 
+// Failure found (inc142): where answers don't tell of loads, those that waited for one counted as runs of 1.5 s:
+// workers looked stretched and warm ones were sent nothing.
+TEST(Ordinary, AnswersThatWaitedForALoadDoNotStretchAWorker) {
+  Settings s = settings();
+  s.routers = 100;
+  s.tells_warm = false;
+  Router r(s);
+  r.list({entry("a"), entry("b"), entry("c")});
+  for (int i = 0; i < 12; ++i) {  // runs of 100 ms, but each function's first call waits for its load
+    r.request(id("first", i), static_cast<std::uint64_t>(i + 1));
+    r.answer(r.sends.back(), Outcome::ok, 1600, Warmth::untold);
+    r.request(id("then", i), static_cast<std::uint64_t>(i + 1));
+    r.answer(r.sends.back(), Outcome::ok, 100, Warmth::untold);
+    r.pass(50);
+  }
+  const auto told = r.policy.tally();
+  EXPECT_NEAR(told.at("now.run_ms"), 100, 20);
+  EXPECT_NEAR(told.at("now.load_ms"), 1500, 150);
+  EXPECT_LE(told.at("now.sum_stretch") / told.at("now.workers"), 1.2);
+  const auto before = r.sends.size();
+  r.request("x", 1, "safe");
+  EXPECT_EQ(r.sends.size(), before + 1);
+}
+
 // Load news of any content changes no rule and costs at most a worse choice.
 TEST(LongDay, AWorkerThatReplacesOneLongGoneIsAWorkerOfItsOwn) {
   Settings s = settings();
