--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -191,6 +191,7 @@
     }
     if (open() && sign_asked_ <= heard_ && now - std::max(heard_, sent_) > kQuietMost) {
       sign_asked_ = now;
+      fleet_.counters_.add("hosts.signs_asked");
       const std::string tag = "s" + std::to_string(++fleet_.last_tag_);
       ask(tag, Asked::Kind::sign, 0, "health " + tag);
     }
@@ -330,6 +331,7 @@
     const auto outcome = [&](bool put, std::uint64_t end) {
       return put && outbox().written() >= end ? Outcome::reset : Outcome::connect_failed;
     };
+    if (connecting()) fleet_.counters_.add("hosts.links_refused");
     for (const auto& [ref, sent] : attempts) fleet_.attempts_.erase(sent.attempt);
     for (const auto& [ref, sent] : attempts) {
       fleet_.dispatcher_->attempt_ended(sent.attempt, {outcome(sent.put, sent.end), 0, std::nullopt, {}});
@@ -436,7 +438,10 @@
 void Fleet::probe(const std::string& id) {
   Host* host = ready_host(id);
   Link* link = host == nullptr ? nullptr : link_for(*host, {});
-  if (link != nullptr) return link->probe("p" + std::to_string(++last_tag_));
+  if (link != nullptr) {
+    counters_.add("hosts.probes");
+    return link->probe("p" + std::to_string(++last_tag_));
+  }
   later([this, id] { dispatcher_->probe_ended({id, Outcome::connect_failed, Millis(0), std::nullopt}); });
 }
 
