Ask a silent link for a sign late, and later again after each sign that came

A link with something out was asked for a sign after each 200 ms of silence. Each is a probe. At a quiet invoker a link carries one call at a time, and a host that loads a copy for it is silent for 1 to 2 s.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -17,8 +17,9 @@
 using net::field;
 
 constexpr Millis kSilent{400};  // an attempt dropped on a link that was silent for so long: it may be cut off
-constexpr Millis kQuietMost{200};  // a link with something out that is silent for longer is asked for a sign
-constexpr Millis kSignMost{250};   // and ended if none comes: a host answers that beside its queue
+constexpr Millis kQuietLeast{200};  // a link with something out is silent for so long before a sign is asked for
+constexpr double kQuietShare = 0.15; // and for this part of the patience of what is out, over how much is out
+constexpr Millis kSignMost{250};  // and ended if none comes: a host answers that beside its queue
 constexpr Millis kWholeMost{200};  // an answer that has begun is whole by then, or its rest never comes
 constexpr Millis kCheckPace{50};
 constexpr Millis kPastKept{10000};  // for so long a late answer to an attempt that has ended may still come
@@ -60,6 +61,7 @@
   }
   void exec(const core::Attempt& attempt, const core::Call& call, Millis patience) {
     Sent sent{attempt, fleet_.loop_.now(), 0, false};
+    patience_ = patience;
     if (connecting()) {
       waiting_.push_back({call.ref, call.class_name, call.function_name, call.body, sent.at + patience});
     } else {
@@ -151,7 +153,8 @@
   std::deque<std::pair<std::string, std::string>> said_;
   std::unordered_map<std::string, bool> past_;  // refs whose attempt here has ended: answered, or dropped
   std::deque<std::pair<Millis, std::string>> past_order_;
-  Millis heard_{0}, sent_{0}, begun_{0}, sign_asked_{0};
+  Millis heard_{0}, sent_{0}, begun_{0}, sign_asked_{0}, patience_{0};
+  int signs_ = 0;  // asked for since the last answer
   bool retired_ = false, suspect_ = false, checking_ = false;
   net::Loop::TimerId timer_{}, stuck_{}, check_{};
 
@@ -177,6 +180,12 @@
     if (std::exchange(checking_, true)) return;  // one timer a link
     check_ = fleet_.loop_.at(sent_ + kCheckPace, [this] { check(); });
   }
+  // Danger: each sign is a probe that costs its host and is paid for. A host that loads a copy for the one call
+  // out here is silent for many runs, and each sign it gives says that it's well: the next is due later.
+  Millis quiet_most() const {
+    const double share = kQuietShare / static_cast<double>(std::max<std::size_t>(attempts_.size(), 1));
+    return std::max(kQuietLeast, share * patience_) * std::exp2(signs_);
+  }
   // Danger: a link over which nothing comes any more, or never the rest of an answer, holds whatever is out
   // on it to the deadline, though its host serves others well. One sign asked for tells it from a busy host.
   void check() {
@@ -189,8 +198,9 @@
       fleet_.counters_.add(torn ? "hosts.cut_answers" : "hosts.silent_links");
       return end_later();
     }
-    if (open() && sign_asked_ <= heard_ && now - std::max(heard_, sent_) > kQuietMost) {
+    if (open() && sign_asked_ <= heard_ && now - std::max(heard_, sent_) > quiet_most()) {
       sign_asked_ = now;
+      ++signs_;
       fleet_.counters_.add("hosts.signs_asked");
       const std::string tag = "s" + std::to_string(++fleet_.last_tag_);
       ask(tag, Asked::Kind::sign, 0, "health " + tag);
@@ -293,6 +303,7 @@
       const core::Attempt attempt = found->second.attempt;
       attempts_.erase(found);
       fleet_.attempts_.erase(attempt);
+      signs_ = 0;
       past(reply.id, true);
       const Outcome outcome = outcomes().at(reply.word);
       fleet_.counters_.add("hosts.answers." + reply.word);
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -226,6 +226,22 @@
   CHECK(p.world.counters.value("hosts.links_opened") == 2);
 }
 
+// Failure found (inc142): 1.2 signs a request were asked for, each a probe, of hosts that were loading a copy.
+TEST_CASE("a link that waits for one long call asks for few signs; one that is cut off is ended all the same") {
+  Platform p(1);
+  auto& host = *p.world.host[0];
+  host.react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  Client c(p.world, p.front.address());
+  host.mute = GENERATE(false, true);
+  c.call("1", "bin-record", "x", 1500);
+  REQUIRE(c.answer("1") != nullptr);
+  CHECK(c.answer("1")->at(1) == "FAILED");
+  const auto signs = p.world.counters.value("hosts.signs_asked");
+  CHECK(signs >= 1);
+  CHECK(signs <= 2);
+  CHECK(p.world.counters.value("hosts.silent_links") == (host.mute ? 1 : 0));
+}
+
 TEST_CASE("an answer that brings more than belongs to it is taken; nothing new goes over its connection") {
   Platform p(1);
   const auto kind = GENERATE(Kind::twice, Kind::stranger);
