Do not take a host that loads for a quiet invoker's only call as silent

With many invokers calls are sent to wait for loads. All that a quiet invoker has out at a host may wait for one; after 400 ms the host counted as silent, was left out, and the call was sent elsewhere to load there as well.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -92,7 +92,7 @@
   Millis died{kNever}, loss_told{kNever}, cold_filled{kNever}, probed{kNever}, waiting_at{kNever},
       peers_told{kNever}, gone{kNever};
   std::uint64_t hash = 0;
-  int inflight = 0, listed = 0;
+  int inflight = 0, opening = 0, listed = 0;  // opening: of these, calls to copies not known to stand
   bool waiting_told = true;  // nothing new to tell
   Millis doubted{kNever};    // since when a broken connection leaves open whether it runs
   bool doubted_reset = false;
@@ -199,8 +199,15 @@
     const Millis since = std::max(w.started, w.died);
     return w.lost || (since.count() > 0 && now_ - since < s_.cold_for);
   }
-  // Danger: a worker that takes calls and answers none keeps looking idle.
-  bool silent(const Worker& w) const { return w.inflight > 0 && now_ - w.heard > patience(any_run_.value); }
+  // Danger: a worker that takes calls and answers none keeps looking idle. But many routers send calls to wait
+  // for a load, and all that a quiet one has out there may do so: that is no silence, nor is the call lost.
+  bool silent(const Worker& w) const {
+    const Millis load = w.inflight > w.opening ? Millis(0) : load_patience(any_load_.value);
+    return w.inflight > 0 && now_ - w.heard > patience(any_run_.value) + load;
+  }
+  Millis load_patience(double load) const {  // before any sample a load is taken as two aims
+    return Millis(kPatience * (load > 0 || !shared() ? load : 2 * longest_wait_));
+  }
   Millis patience(double run) const { return std::max(kSilence, Millis(run * kSilentRuns)); }
   bool open(const Worker& w, const Health& h) const {  // on probation: one call at a time
     return now_ >= h.ejected_until && !(h.probation && w.inflight > 0);
@@ -222,7 +229,7 @@
     stretch = std::min(std::max(stretch, 0.0), kStretchMost);
     const double before = stretch_of(w);
     w.stretch = before + (stretch > before ? kStretchGain / 3 : kStretchGain) * (stretch - before);
-    w.stretch_at = now_;
+    w.stretch_at = stretch_at_ = now_;
     if (w.stretch < kCrowded) {  // own calls at a worker past its cores are limited
       w.limit = std::min(kLimitMost, w.limit + (w.inflight + 2 >= w.limit ? 1 / w.limit : 0));
     } else if (now_ - w.limit_moved > kBackOff) {
@@ -230,7 +237,6 @@
       w.limit = std::max(shared() ? 2.0 : 1.0, w.limit * 0.9);
     }
     fleet_stretch_ += (stretch > fleet_stretch_ ? kRunGain / 3 : kRunGain) * (stretch - fleet_stretch_);
-    stretch_at_ = now_;
   }
   double busyness(const Worker& w) const {
     const double busy = (w.inflight + 2) * std::max(1.0, stretch_of(w)) / std::max(w.weight, 0.01);
@@ -339,8 +345,7 @@
   }
   bool alive(const Worker& w) const { return now_ - w.answered < kAlive; }
   // Danger: after a restart not yet listed many routers send a cold worker their full load. Who meets a loss
-  // tells all: the cold budget holds till it is back and a cold time from then. Guards against crashes, cut
-  // links, wrong lists. Harm: a router cut off from a live worker slows others; news of one heard is dropped.
+  // tells all: the cold budget holds till it is back and a cold time from then. News of one heard is dropped.
   void lose(Worker& w, bool tell) {
     if (!w.lost) forget_copies(index_of(w));
     w.lost = true;
@@ -631,9 +636,8 @@
   }
   bool has_room(const Worker& w) const { return w.inflight < w.limit && now_ >= w.full_until; }
   bool may_send(const Request& r, Worker& w) {
-    if (r.done || r.streaming || now_ >= r.deadline) return false;
-    if (static_cast<int>(r.attempts.size()) >= s_.max_attempts) return false;
-    if (!s_.second_copies && r.out()) return false;
+    const bool spent = static_cast<int>(r.attempts.size()) >= s_.max_attempts;
+    if (r.done || r.streaming || now_ >= r.deadline || spent || (!s_.second_copies && r.out())) return false;
     return usable(w) && serves(w, r.cls) && may_repeat(r, &w) && may_warm(r, w);
   }
   // Rule 4. A cold worker is sent the stated multiple of its present share of what this router gets served by
@@ -674,6 +678,7 @@
     act(action::Send{r.id, w.worker, r.deadline - now_});
     r.attempts.push_back({c.worker, now_, AttemptState::out, c.proven, c.busy == 0});
     if (w.inflight++ == 0) w.heard = now_;
+    w.opening += shared() && !c.proven;
     ++c.busy;
     c.used = now_;
     if (cold(w)) w.cold_tokens -= work_of(r);
@@ -686,6 +691,7 @@
     requests_.erase(r.serial);
   }
   void give_up(Request& r) {  // the one final answer that is ours to give
+    if (!r.attempts.empty()) tally_["gave_up_after_attempt"] += 1;
     act(may_repeat(r, nullptr) ? Action(action::Refuse{r.id, retry_after(r)}) : Action(action::Fail{r.id}));
     finish(r);
   }
@@ -698,9 +704,9 @@
   // end at once. Guards against any overload, slow store or lost capacity. Harm: an idle spell just after
   // would have served them late; so what a load of ours is on the way for stays.
   void shed(Function& f) {
-    const auto loads = [](const Copy& c) { return c.loading > 0; };
-    const bool loading = std::any_of(f.copies.begin(), f.copies.end(), loads);
-    for (const auto serial : std::vector<std::uint64_t>(f.queue.begin(), f.queue.end())) {
+    bool loading = false;
+    for (const auto& c : f.copies) loading = loading || c.loading > 0;
+    for (const auto serial : std::deque<std::uint64_t>(f.queue)) {
       Request& r = requests_.at(serial);
       const bool too_late = now_ + Millis(base_of(f)) > r.deadline;
       if (!too_late && (loading || worth_holding(r))) continue;
@@ -712,10 +718,8 @@
     const char* reason = "no_copy";
     for (const auto& c : f.copies) {
       const Worker& w = worker(c);
-      if (!warm(c)) reason = c.loading > 0 ? "loading" : reason;
-      else if (!usable(w) || !serves(w, r.cls)) reason = "unhealthy";
-      else if (now_ < w.full_until) reason = "worker_full";
-      else if (w.inflight >= w.limit) return "own_limit";
+      if (!warm(c) || !usable(w) || !serves(w, r.cls)) reason = warm(c) ? "unhealthy" : reason;
+      else if (!has_room(w)) reason = w.inflight >= w.limit ? "own_limit" : "worker_full";
       else return c.busy >= c.standing * f.lanes ? "lanes_busy" : "too_stretched";
     }
     return reason;
@@ -780,6 +784,7 @@
     Worker& w = at(index);
     Copy& c = copy_at(f, index);
     w.inflight = std::max(0, w.inflight - 1);
+    w.opening -= shared() && !a.proven;
     c.busy = std::max(0, c.busy - 1);
     if (e.outcome != Outcome::timeout && e.outcome != Outcome::cancelled) w.heard = now_;
     if (e.outcome == Outcome::ok || e.outcome == Outcome::full || e.outcome == Outcome::miss) note_alive(w);
@@ -861,10 +866,7 @@
     const bool spent = static_cast<int>(r.attempts.size()) >= s_.max_attempts;
     const auto fit = [&](const Worker& w) { return may_repeat(r, &w); };
     const bool any = std::any_of(workers_.begin(), workers_.end(), fit);
-    if (spent || (!any && !may_repeat(r, nullptr)) || !worth_holding(r)) {
-      tally_["gave_up_after_attempt"] += 1;
-      return give_up(r);
-    }
+    if (spent || (!any && !may_repeat(r, nullptr)) || !worth_holding(r)) return give_up(r);
     hold(r, true);
   }
 
@@ -970,9 +972,9 @@
       if (a.state != AttemptState::out) continue;
       Worker& w = at(a.worker);
       // Danger: a copy believed by agreement may be loading still; its calls are slow, not lost.
-      const double load = copy_at(*r.function, a.worker).proven ? 0 : load_of(*r.function) * kPatience;
+      const Millis load = a.proven ? Millis(0) : load_patience(load_of(*r.function));
       const Millis run = patience(base_of(*r.function) * std::max(1.0, stretch_of(w)));
-      if (now_ - a.sent <= run + Millis(load)) continue;
+      if (now_ - a.sent <= run + load) continue;
       if (silent(w)) eject(w);
       if (a.lost) continue;
       a.lost = true;
@@ -999,12 +1001,11 @@
     for (auto& w : workers_) {
       const bool unused = w.state == WorkerState::gone && w.inflight == 0 && now_ - w.gone > kForget;
       if (!unused || w.worker.empty()) continue;
-      const int index = index_of(w);
-      forget_copies(index);
+      forget_copies(index_of(w));
       const auto tag = tags_.find(tag_of(w.hash));
-      if (tag != tags_.end() && tag->second == index) tags_.erase(tag);
+      if (tag != tags_.end() && tag->second == index_of(w)) tags_.erase(tag);
       worker_index_.erase(w.worker);
-      free_places_.push_back(index);
+      free_places_.push_back(index_of(w));
       w = Worker();
       w.state = WorkerState::gone;
     }
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -270,6 +270,28 @@
   EXPECT_EQ(r.sends.size(), before + 1);
 }
 
+// Failure found (inc3048): a quiet router's one call at a worker waited for a load; the worker was taken for silent,
+// left out, and the call sent elsewhere to load there too.
+TEST(Health, AWorkerThatLoadsForItsOnlyCallIsNotSilent) {
+  Settings s = crowd_settings();
+  s.cancel = true;
+  s.tells_warm = false;
+  Router r(s);
+  r.list({entry("a"), entry("b"), entry("c")});
+  r.request("x", 7);
+  ASSERT_EQ(r.sends.size(), 1U);
+  r.pass(1400);  // a load takes so long
+  EXPECT_TRUE(r.cancels.empty());
+  EXPECT_EQ(r.sends.size(), 1U);
+  EXPECT_EQ(r.policy.tally().count("now.unusable") == 0 ? 0 : r.policy.tally().at("now.unusable"), 0);
+  r.answer(r.sends[0], Outcome::ok, 1400, Warmth::untold);
+  // One that answers nothing, not even where the copy is known to stand, is left out as before.
+  r.request("y", 7);
+  ASSERT_EQ(r.sends.size(), 2U);
+  r.pass(1000);
+  EXPECT_EQ(r.cancels.size(), 1U);
+}
+
 // Load news of any content changes no rule and costs at most a worse choice.
 TEST(LongDay, AWorkerThatReplacesOneLongGoneIsAWorkerOfItsOwn) {
   Settings s = settings();
