Send a cold host most of its usual calls: it bears more than all of them

A host that starts bears 4 x 0.31 of a warm one's work by the rule. The budget let it have half of what a warm one gets, so the functions that have their place there were loaded elsewhere, and stayed, for up to 17 s after each restart.

--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -341,6 +341,40 @@
   EXPECT_EQ(used.size(), 2U);
 }
 
+// Failure found (day 5): a host that came back was sent half of its usual calls though it has room for more than all.
+TEST(Rule4, AColdWorkerGetsMostOfItsUsualCallsAndNoneToTipIt) {
+  Settings s = settings();
+  s.routers = 100;
+  s.cold_from = 0.31;
+  s.cold_multiple = 4;
+  Router r(s);
+  std::vector<WorkerEntry> workers;
+  for (int i = 0; i < 10; ++i) workers.push_back(entry(id("w", i)));
+  r.list(workers);
+  std::size_t told = 0;
+  std::uint64_t calls = 0;  // each of a function of its own: what has moved elsewhere stays there for a while
+  const auto sent_to = [&](const std::string& worker, int rounds) {
+    int sent = 0;
+    for (int i = 0; i < rounds; ++i) {
+      ++calls;
+      r.request(id("x", static_cast<int>(calls)), calls);
+      for (; told < r.sends.size(); ++told) {
+        sent += r.sends[told].worker == worker;
+        r.answer(action::Send(r.sends[told]), Outcome::ok, 80);
+      }
+      r.pass(10);
+    }
+    return sent;
+  };
+  sent_to("w3", 600);
+  const int usual = sent_to("w3", 300);
+  ASSERT_GE(usual, 10);
+  r.list({entry("w3", WorkerState::ready, r.now.count())}, ListKind::delta);
+  const int cold = sent_to("w3", 300);
+  EXPECT_GE(cold, 0.65 * usual);
+  EXPECT_LE(cold, 1.24 * usual);  // its share of a warm worker at first, times the multiple
+}
+
 // Load news of any content changes no rule and costs at most a worse choice.
 TEST(LongDay, AWorkerThatReplacesOneLongGoneIsAWorkerOfItsOwn) {
   Settings s = settings();
