Take for a first try what is given the time that most tries are given

A later try was told from a first one by being given less time than the longest seen. Where a first try gets half of the deadline and a later one all that is left of it, one later try made every first try of its class look late: its aim seemed past, so it was refused wherever a host had anything waiting.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -61,6 +61,7 @@
 constexpr double kShareLeast = 0.1;  // a nearly idle router knows too little of the mix to be scaled up more
 constexpr Millis kAlive{1000};      // a worker that answered in this time runs: two rounds of load news
 constexpr double kLateKept = 0.5;   // a late answer worth this part or more is waited for
+constexpr int kAlikeMost = 20;  // after so many others in a row first tries have a new time
 constexpr int kProbesLost = 3;      // so many failed probes on end, and no answer, count as a loss
 constexpr Millis kNever{-1e15};     // before any time of any clock
 
@@ -104,7 +105,8 @@
 struct ClassRecord {
   Average run;
   double base = 0, errors = 0;  // unloaded R; share that failed of late, whoever served
-  Millis first_try{0};          // what a first try is given
+  Millis first_try{0};          // what a first try is given: what most tries are, `alike` more than others
+  int alike = 0;
 };
 enum class AttemptState { out, never_ran, may_have_run };
 struct Attempt {
@@ -244,12 +246,11 @@
     return w.zone == s_.zone ? busy : busy * kRemote;
   }
   void forget_copies(int index) {
-    for (auto& f : functions_) {
+    for (auto& f : functions_)
       if (Copy* c = find_copy(*f, index)) {
         c->standing = 0;
         end_load(*c);
       }
-    }
   }
   void read_report(Worker& w, const Report& report) {
     for (std::size_t i = 0; report && i < report->size() && i < s_.report_fields.size(); ++i) {
@@ -517,9 +518,8 @@
     return run_of(f) + load_of(f) * (k + 1) / e;
   }
   Copy* find_copy(Function& f, int index) {
-    for (auto& c : f.copies) {
+    for (auto& c : f.copies)
       if (c.worker == index) return &c;
-    }
     return nullptr;
   }
   Copy& copy_at(Function& f, int index) {
@@ -550,9 +550,8 @@
   }
   void pump_all() {
     std::multimap<double, Function*> held;
-    for (auto& f : functions_) {
+    for (auto& f : functions_)
       if (!f->queue.empty()) held.emplace(weight_to_load(*f), f.get());
-    }
     for (auto& [weight, f] : held) consider(*f);
   }
   void consider(Function& f) {
@@ -731,18 +730,21 @@
     Request& r = requests_[next_serial_];
     r.id = e.id;
     r.serial = request_index_[e.id] = next_serial_++;
-    for (std::size_t i = 0; i < s_.classes.size(); ++i) {
+    for (std::size_t i = 0; i < s_.classes.size(); ++i)
       if (s_.classes[i].name == e.class_name) r.cls = static_cast<int>(i);
-    }
     r.function = &function_of(e, r.cls);
     r.deadline = now_ + e.expires_in;
     const ClassSettings* c = class_of(r);
     r.aim_at = c != nullptr && c->aim.count() > 0 ? std::min(r.deadline, now_ + c->aim) : r.deadline;
-    // Danger: a client's later try looks new, though its aim has passed. It is given less time than a first
-    // try, for the client's patience ends with the class's deadline: that tells when it began.
-    Millis& first_try = classes_[slot(r.cls)].first_try;
-    first_try = std::max(first_try, e.expires_in);
-    if (c != nullptr && e.expires_in + 2 * s_.tick < first_try) {
+    // Danger: a later try looks new, though its aim has passed. First tries are all given the same time;
+    // a later one what is left of the class's deadline, more or less than that: it tells when it began.
+    ClassRecord& record = classes_[slot(r.cls)];
+    const bool alike = std::abs((e.expires_in - record.first_try).count()) <= 2 * s_.tick.count();
+    record.alike = std::min(record.alike + (alike ? 3 : -1), kAlikeMost);  // two of three may be later ones
+    if (record.alike < 0) {
+      record.first_try = e.expires_in;
+      record.alike = 1;
+    } else if (c != nullptr && !alike) {
       r.aim_at = std::min(r.aim_at, r.deadline - c->deadline + c->aim);
     }
     const Millis last = r.deadline - s_.tick - now_;
@@ -897,9 +899,8 @@
   void on(const event::Left& e) {
     Request* r = find_request(e.id);
     if (r == nullptr) return;
-    for (std::size_t i = 0; s_.cancel && !r->streaming && i < r->attempts.size(); ++i) {
+    for (std::size_t i = 0; s_.cancel && !r->streaming && i < r->attempts.size(); ++i)
       if (r->attempts[i].state == AttemptState::out) act(action::Cancel{e.id, static_cast<int>(i)});
-    }
     finish(*r);
   }
   void on(const event::Peer& e) { hear_news(e.text); }
@@ -918,9 +919,8 @@
     live_ = true;
     random_.seed(s_.seed);
     classes_.resize(s_.classes.size() + 1);
-    for (const auto& c : s_.classes) {
+    for (const auto& c : s_.classes)
       if (c.aim.count() > 0) longest_wait_ = std::min(longest_wait_, c.aim.count());
-    }
     reports_queue_ = std::count(s_.report_fields.begin(), s_.report_fields.end(), ReportField::queue) > 0;
     if (s_.ask_list) act(action::Watch{true});
     act(action::SetTimer{kSweep, 0});
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -181,6 +181,21 @@
   EXPECT_EQ(r.refused, std::vector<std::string>{"later"});
 }
 
+// Failure found (day 3): first tries are given half of the deadline, a later one all that is left of it; once one was
+// seen, every first try was taken for a later one and refused wherever something waited.
+TEST(GivingUp, AFirstTryIsTheOneGivenWhatMostAreGiven) {
+  Router r;
+  r.list({});
+  for (int i = 0; i < 4; ++i) r.request(id("first", i), static_cast<std::uint64_t>(i + 1), "safe", 1900);
+  r.request("later", 8, "safe", 2980);
+  r.request("last", 9, "safe", 700);
+  r.request("new", 10, "safe", 1900);
+  r.pass(100);
+  EXPECT_EQ(r.refused, (std::vector<std::string>{"later", "last"}));
+  r.pass(1000);
+  EXPECT_EQ(r.refused.size(), 7U);
+}
+
 // Failure found (h6ac7e3): calls that met full workers spilled on and on; their loads pushed copies out for good.
 TEST(Places, CallsDoNotSpillOverTheWholeFleet) {
   Router r(crowd_settings());
