Pass the idempotency key of a keyed class on to hosts unchanged

Ruled out: the class's name (three names of other forms; the calls of the two other classes were not complained of), and the body (the fault names the key). At fault: src/resp/front.cpp read no such field, and Fleet::Link::put in src/hosts/fleet.cpp wrote sort, asset and patience alone.

A key that would end its field at the host (blank, comma, equals sign, line end) fails the call.

The test fails without the change.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -63,9 +63,9 @@
     Sent sent{attempt, fleet_.loop_.now(), 0, false};
     patience_ = patience;
     if (connecting()) {
-      waiting_.push_back({call.ref, call.class_name, call.function_name, call.body, sent.at + patience});
+      waiting_.push_back({call.ref, fields_of(call), call.body, sent.at + patience});
     } else {
-      put(call.ref, call.class_name, call.function_name, call.body, patience, sent);
+      put(call.ref, fields_of(call), call.body, patience, sent);
     }
     attempts_.emplace(call.ref, sent);
     rest();
@@ -132,7 +132,7 @@
     bool put = false;       // its bytes stand in the outbox or went out
   };
   struct Waiting {
-    std::string ref, class_name, function_name, body;
+    std::string ref, fields, body;
     Millis until{0};
   };
   struct Asked {
@@ -208,11 +208,15 @@
     if (std::exchange(checking_, true)) return;
     check_ = fleet_.loop_.at(now + kCheckPace, [this] { check(); });
   }
-  void put(const std::string& ref, const std::string& class_name, const std::string& function,
-           const std::string& body, Millis patience, Sent& sent) {
+  static std::string fields_of(const core::Call& call) {
+    const std::string fields = "sort=" + call.class_name + ",asset=" + call.function_name;
+    return call.idempotency_key.empty() ? fields : fields + ",op=" + call.idempotency_key;
+  }
+  void put(const std::string& ref, const std::string& fields, const std::string& body, Millis patience,
+           Sent& sent) {
     const auto whole = std::max<std::int64_t>(1, static_cast<std::int64_t>(std::floor(patience.count())));
-    std::string message = "exec " + ref + " sort=" + class_name + ",asset=" + function +
-                          ",patience=" + std::to_string(whole) + ' ' + std::to_string(body.size()) + "\r\n";
+    std::string message = "exec " + ref + ' ' + fields + ",patience=" + std::to_string(whole) + ' ' +
+                          std::to_string(body.size()) + "\r\n";
     message += body;
     message += "\r\n";
     write(message);
@@ -248,7 +252,7 @@
     for (const auto& [tag, line] : said) put_line(tag, line);
     for (const auto& w : waiting) {
       const Millis left = w.until - heard_;
-      put(w.ref, w.class_name, w.function_name, w.body, left, attempts_.at(w.ref));
+      put(w.ref, w.fields, w.body, left, attempts_.at(w.ref));
     }
     rest();
   }
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -200,6 +200,9 @@
   const auto allow = net::parse_whole(field(*fields, "allow"), kLongestAllow);
   const auto spec = net::parse_fields(field(*fields, "spec"), ';', ':');
   if (!ref || !function || !allow || !spec) return reject(client, tag, "resp.bad_fields");
+  // It stands in a host's field list as it is: what would end the field there cannot be passed on.
+  const std::string& key = field(*fields, "replay");
+  if (key.find_first_of(" ,=\r\n") != std::string::npos) return reject(client, tag, "resp.bad_fields");
   // A figure that is there can be read; the core knows which ones can be used.
   const auto effort = net::parse_number(field(*fields, "effort")),
              memory = net::parse_number(field(*spec, "memory_mb"));
@@ -220,6 +223,7 @@
   call.tenant = field(*fields, "project");
   call.function_name = field(*fields, "lookup");
   call.function = *function;
+  call.idempotency_key = key;
   call.effort = effort;
   call.retry = field(*fields, "dup") == "1";
   call.memory_mb = memory.value_or(0);
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -137,6 +137,7 @@
   Server<Peer, StandInHost> server;
   std::function<Reaction(const std::string& body)> react = [](const std::string&) { return Reaction(); };
   std::map<std::string, int> runs;  // by body: execs that may have run
+  std::string last_fields;          // of the last exec, as they came
   int execs = 0, drops = 0, orders = 0;
   bool mute = false;  // asked for a sign it gives none, as if cut off
 
@@ -152,6 +153,7 @@
     }
     if (line.id != "exec") return;
     ++execs;
+    last_fields = line.fields;
     const Reaction reaction = react(line.body);
     if (reaction.kind != Reaction::reply || reaction.word == "data" || reaction.word == "failed")
       ++runs[line.body];
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -62,6 +62,24 @@
   CHECK(*c.answer("2") == resp::Words{"2", "OK", "", body});
 }
 
+// Failure found on a variant of the settings with a keyed class: every call reached hosts without its key.
+TEST_CASE("an idempotency key goes to the host unchanged; one that would break the host's fields is failed") {
+  Platform p(1);
+  Client c(p.world, p.front.address());
+  const std::string ref = "ref=00000000000000ac,allow=900,lookup=00000000000000a1,replay=";
+  c.say({"CALL", "1", "bin-check", ref + "k:7f/3a", "x"});
+  REQUIRE(c.answer("1") != nullptr);
+  CHECK(c.answer("1")->at(1) == "OK");
+  CHECK_THAT(p.world.host[0]->last_fields, Catch::Contains(",op=k:7f/3a"));
+  c.call("2", "bin-check", "y");
+  REQUIRE(c.answer("2") != nullptr);
+  CHECK_THAT(p.world.host[0]->last_fields, !Catch::Contains("op="));
+  c.say({"CALL", "3", "bin-check", "allow=900,lookup=00000000000000a1,ref=00000000000000ad,replay=a b", "x"});
+  REQUIRE(c.answer("3") != nullptr);
+  CHECK(c.answer("3")->at(1) == "FAILED");
+  CHECK(p.world.host[0]->execs == 2);
+}
+
 TEST_CASE("bad input ends its call or its connection, with a counted reason") {
   Platform p(1);
   Client c(p.world, p.front.address());
