--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -98,6 +98,17 @@
   calls_.erase(found);
 }
 
+void Dispatcher::end_all() {
+  std::vector<CallId> ids;
+  for (const auto& [id, open] : calls_) ids.push_back(id);
+  std::sort(ids.begin(), ids.end());
+  for (const CallId id : ids) {
+    counters_.add("calls.ended_unserved");
+    run(module_.report(clock_(), CallLeft{id}));  // first, or it would try again what fails now
+    carry_out(RefuseStep{id, Millis(0)});
+  }
+}
+
 // Tells the module of the end of the attempt that is out, if one is.
 void Dispatcher::give_back(CallId id, Open& open, Outcome outcome, bool over) {
   if (!open.out) return;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -24,6 +24,7 @@
   // False if it is not taken: no host could use it, or its ref is not its own. It is owed a failure.
   bool take(CallId id, Call&& call, Front& front);
   void leave(CallId id);  // the client is gone: no answer is owed
+  void end_all();         // the program ends: what is open gets its final answer now
 
   void attempt_ended(const Attempt& attempt, AttemptEnd&& end);
   void load_ended(LoadOutcome&& end);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include "amqp/front.h"
 #include "config/config.h"
 #include "core/dispatcher.h"
+#include "core/shutdown.h"
 #include "feed/feed.h"
 #include "hosts/fleet.h"
 #include "net/loop.h"
@@ -20,11 +21,7 @@
 
 using core::Millis;
 
-constexpr Millis kComingFor{800};   // after SIGTERM connections and calls keep coming for at most 0.6 s
-constexpr Millis kListenFor{500};   // new connections for at most 0.4 s of these
-constexpr Millis kLeastKill{3000};  // SIGKILL comes no sooner than the longest deadline, or this, plus 0.7 s
-constexpr Millis kKillSlack{600};
-constexpr Millis kStatusPace{5000};  // of the log's status lines
+constexpr Millis kStatusPace{5000};          // of the log's status lines
 constexpr std::size_t kOwnDescriptors = 20;  // standard streams, the listener, the change log and the like
 
 volatile std::sig_atomic_t g_terminate = 0, g_print = 0, g_reread = 0;
@@ -152,8 +149,9 @@
     }
   };
 
-  Millis longest = kLeastKill;
+  Millis longest{0};
   for (const auto& c : config.settings.classes) longest = std::max(longest, c.deadline);
+  core::Shutdown shutdown(longest);
   // A third of the descriptors each for clients and for hosts; the last third for connections that have not
   // asked yet, less what the program itself holds.
   resp::Front::Limits front_limits;
@@ -165,7 +163,7 @@
     if (!front.listen(config.listen)) {
       throw config::ConfigError("configuration: listen: cannot listen on " + config.listen);
     }
-    std::cout << "lotusyard " << config.name << " listens on " << config.listen << std::endl;
+    std::cout << "lotusyard " << config.name << " listens on " << front.address() << std::endl;
   }
   std::optional<amqp::Front> triggers;
   if (config.amqp) {
@@ -180,14 +178,14 @@
     const std::string line = counters.status(dispatcher.tally());
     if (!line.empty()) std::cout << line << std::endl;
   };
-  Millis told_to_end{0}, status_at = loop.now() + kStatusPace;
+  Millis status_at = loop.now() + kStatusPace;
   while (true) {
     Millis due = std::min(dispatcher.next_due(), status_at);
     if (loop.now() >= status_at) {
       status_at = loop.now() + kStatusPace;
       log_status();
     }
-    if (told_to_end.count() > 0) due = std::min(due, loop.now() + Millis(20));
+    if (shutdown.begun()) due = std::min(due, loop.now() + Millis(20));
     loop.turn(due, [&] { dispatcher.tick(); });
     if (g_print != 0) {
       g_print = 0;
@@ -197,20 +195,23 @@
       g_reread = 0;
       reread();
     }
-    if (g_terminate != 0 && told_to_end.count() == 0) {
-      told_to_end = loop.now();
+    const Millis now = loop.now();
+    if (g_terminate != 0 && !shutdown.begun()) {
+      shutdown.begin(now);
+      std::cout << "lotusyard " << config.name << " ends: " << dispatcher.open() << " calls open"
+                << std::endl;
       front.drain();
       if (triggers) triggers->drain();
     }
-    if (told_to_end.count() == 0) continue;
-    const Millis since = loop.now() - told_to_end;
-    if (since > kListenFor) front.stop_listening();
-    if (since <= kComingFor) continue;
-    const bool all_ended = front.open_calls() == 0 && front.written() && (!triggers || triggers->done());
-    if (all_ended || since > longest + kKillSlack) break;
+    if (!shutdown.begun()) continue;
+    if (!shutdown.listens(now)) front.stop_listening();
+    if (shutdown.answers_due(now)) dispatcher.end_all();
+    const bool all_ended =
+        front.open_calls() == 0 && !front.reading() && front.written() && (!triggers || triggers->done());
+    if ((all_ended && !shutdown.requests_come(now)) || shutdown.over(now)) break;
   }
   if (triggers) triggers->close();
-  loop.turn(loop.now(), [] {});
+  loop.turn(loop.now(), [&] { dispatcher.end_all(); });  // what is read in this last turn is answered too
   log_status();
   counters.print(std::cout);
   return 0;
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -32,6 +32,7 @@
   std::size_t faults = 0;
 
   bool idle() const { return open_calls.empty() && outbox().empty(); }
+  bool reading() const { return parser_.begun(); }
 
  private:
   Front& front_;
@@ -86,7 +87,9 @@
              Limits limits)
     : loop_(loop), pool_(pool), dispatcher_(dispatcher), counters_(counters), limits_(limits) {}
 
-Front::~Front() { stop_listening(); }
+Front::~Front() {
+  if (listener_) loop_.forget(listener_.fd(), *this);
+}
 
 bool Front::listen(const std::string& address) {
   listener_ = net::listen_on(address);
@@ -96,6 +99,8 @@
 
 void Front::stop_listening() {
   if (!listener_) return;
+  // Danger: a connection that the kernel has accepted may hold a whole request; closing here would lose it.
+  while (accept_some()) {}
   loop_.forget(listener_.fd(), *this);
   listener_.close();
 }
@@ -104,6 +109,12 @@
   return std::all_of(clients_.begin(), clients_.end(), [](const auto& c) { return c->outbox().empty(); });
 }
 
+bool Front::reading() const {
+  const auto begun = [](const auto& c) { return c->reading(); };
+  return std::any_of(clients_.begin(), clients_.end(), begun) ||
+         std::any_of(newcomers_.begin(), newcomers_.end(), begun);
+}
+
 void Front::shed(const std::shared_ptr<Client>& client, const char* why) {
   const std::shared_ptr<Client> kept = client;
   counters_.add(why);
@@ -136,20 +147,25 @@
   if (!oldest->asked && !oldest->ending()) shed(oldest, "resp.silent_closed");
 }
 
-void Front::ready(short) {
+void Front::ready(short) { accept_some(); }
+
+// True if more may wait.
+bool Front::accept_some() {
   for (std::size_t i = 0; i < kAcceptsATurn; ++i) {
     bool exhausted = false;
     net::Socket socket = net::accept_from(listener_, &exhausted);
     if (exhausted) {
       counters_.add("resp.no_descriptor");
-      return pause_listening();
+      pause_listening();
+      return false;
     }
-    if (!socket) return;
+    if (!socket) return false;
     counters_.add("resp.connections");
     newcomers_.push_back(std::make_shared<Client>(*this, std::move(socket)));
     newcomers_.back()->place = std::prev(newcomers_.end());
     bound_newcomers();
   }
+  return true;
 }
 
 // Danger: a listener that stays readable would spin the loop. It is looked at again once a client has gone.
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -32,6 +32,7 @@
   void stop_listening();
   std::size_t open_calls() const { return by_call_.size(); }
   bool written() const;  // nothing waits to be written
+  bool reading() const;  // a request has come in part
 
   void answer(core::CallId call, core::Answer&& answer) override;
 
@@ -57,6 +58,7 @@
   void ready(short events) override;
   bool promote(Client& client);
   void bound_newcomers();
+  bool accept_some();
   void shed(const std::shared_ptr<Client>& client, const char* why);
   void pause_listening();
   void take(Client& client, Words&& words);
--- a/tests/lotusyard/core_test.cpp
+++ b/tests/lotusyard/core_test.cpp
@@ -1,6 +1,7 @@
 // A request's life, under a clock and hosts that the test plays itself.
 #include <cmath>
 
+#include "core/shutdown.h"
 #include "helper.h"
 
 namespace lotusyard::test {
@@ -78,6 +79,18 @@
   }
 };
 
+TEST_CASE("a shutdown answers all before the earliest SIGKILL, and not before the requests have stopped") {
+  const Millis deadline{GENERATE(300.0, 1500.0, 3000.0, 7000.0)}, told{5000};
+  const Millis kill = told + std::min(deadline, Millis(3000)) + Millis(700);
+  core::Shutdown shutdown(deadline);
+  CHECK((shutdown.listens(told) && !shutdown.answers_due(Millis(1e9)) && !shutdown.over(Millis(1e9))));
+  shutdown.begin(told);
+  shutdown.begin(told + Millis(400));  // a second SIGTERM gives no more time
+  CHECK((shutdown.listens(told + Millis(450)) && shutdown.requests_come(told + Millis(700))));
+  CHECK_FALSE(shutdown.answers_due(told + Millis(700)));
+  CHECK((shutdown.answers_due(kill - Millis(150)) && shutdown.over(kill - Millis(50))));
+}
+
 TEST_CASE(
     "whatever hosts do, a call has one answer in time, one attempt out and no second run of a bin-record") {
   for (std::uint64_t seed = 0; seed < 40; ++seed) {
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -116,6 +116,55 @@
   }
 }
 
+// Failure found in review: the listener was closed over connections that the kernel had accepted.
+TEST_CASE("connections that wait to be accepted when listening ends are served") {
+  resp::Front::Limits limits;
+  limits.newcomers = 256;
+  Platform p(1, limits);
+  std::list<Client> clients;
+  for (int i = 1; i <= 100; ++i) {
+    clients.emplace_back(p.world, p.front.address());
+    clients.back().say({"CHECK", "1", ""});
+  }
+  p.front.stop_listening();
+  for (auto& c : clients) REQUIRE(c.answer("1") != nullptr);
+}
+
+TEST_CASE("a request that has come in part is known until it is whole or its connection ends") {
+  Platform p(1);
+  Client c(p.world, p.front.address());
+  c.say({"CHECK", "1", ""});
+  REQUIRE(c.answer("1") != nullptr);
+  CHECK_FALSE(p.front.reading());
+  c.write("*3\r\n$5\r\nCHECK\r\n$1\r\n");
+  REQUIRE(p.world.turn_until([&] { return p.front.reading(); }, 20000));
+  if (GENERATE(true, false)) {
+    c.write("2\r\n$0\r\n\r\n");
+    REQUIRE(c.answer("2") != nullptr);
+  } else {
+    c.end_later();
+  }
+  CHECK(p.world.turn_until([&] { return !p.front.reading(); }, 20000));
+}
+
+TEST_CASE("at the program's end what is open is answered: failed where it may have run, else refused") {
+  Platform p(1);
+  p.world.host[0]->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-record", "x");
+  REQUIRE(p.world.turn_until([&] { return p.world.host[0]->execs == 1; }, 20000));
+  p.world.tell(robinfold::WorkerState::draining);
+  c.call("2", "bin-record", "y");
+  REQUIRE(p.world.turn_until([&] { return p.world.dispatcher.open() == 2; }, 20000));
+  p.world.dispatcher.end_all();
+  CHECK(p.world.dispatcher.open() == 0);
+  REQUIRE((c.answer("1") != nullptr && c.answer("2") != nullptr));
+  CHECK(c.answer("1")->at(1) == "FAILED");
+  CHECK(c.answer("2")->at(1) == "BUSY");
+  CHECK(c.got.size() == 2);
+  CHECK(p.world.host[0]->execs == 1);
+}
+
 TEST_CASE("a client that cancels or goes gets no answer, and its attempt is dropped") {
   Platform p(1);
   p.world.host[0]->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
--- /dev/null
+++ b/tests/lotusyard/process_test.cpp
@@ -0,0 +1,174 @@
+// The program itself: started, told by signals, asked over loopback.
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <spawn.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+#include "helper.h"
+#include "net/fields.h"
+#include "resp/parser.h"
+
+extern char** environ;
+
+namespace lotusyard::test {
+namespace {
+
+constexpr Millis kWaitMost{20000};
+
+// A file that goes with its owner.
+class TemporaryFile {
+ public:
+  TemporaryFile() {
+    const char* const folder = std::getenv("TMPDIR");
+    path_ = std::string(folder != nullptr ? folder : "/tmp") + "/lotusyard-test-XXXXXX";
+    const int fd = mkstemp(path_.data());
+    REQUIRE(fd >= 0);
+    close(fd);
+  }
+  ~TemporaryFile() { unlink(path_.c_str()); }
+  void write(const nlohmann::json& value) { std::ofstream(path_) << value; }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+// The program as a deployment starts it. Ends with its owner, whatever state it is in.
+class Process {
+ public:
+  explicit Process(const std::string& config) {
+    int ends[2];
+    REQUIRE(pipe(ends) == 0);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    for (const int out : {1, 2}) posix_spawn_file_actions_adddup2(&actions, ends[1], out);
+    for (const int end : ends) posix_spawn_file_actions_addclose(&actions, end);
+    std::string binary = LOTUSYARD_BINARY, file = config;
+    char* words[] = {binary.data(), file.data(), nullptr};
+    REQUIRE(posix_spawn(&pid_, binary.c_str(), &actions, nullptr, words, environ) == 0);
+    posix_spawn_file_actions_destroy(&actions);
+    close(ends[1]);
+    output_ = net::Socket(ends[0]);
+    fcntl(output_.fd(), F_SETFL, O_NONBLOCK);
+  }
+  ~Process() {
+    if (pid_ > 0) kill(pid_, SIGKILL);
+    if (pid_ > 0) waitpid(pid_, nullptr, 0);
+  }
+  void tell(int signal) const { REQUIRE(kill(pid_, signal) == 0); }
+  const std::string& log() {
+    char bytes[4096];
+    for (ssize_t got; (got = read(output_.fd(), bytes, sizeof bytes)) > 0;)
+      log_.append(bytes, static_cast<std::size_t>(got));
+    return log_;
+  }
+  // Its exit status, once it has ended by itself.
+  std::optional<int> ended() {
+    int status = 0;
+    if (pid_ > 0 && waitpid(pid_, &status, WNOHANG) == pid_) {
+      pid_ = -1;
+      status_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+    }
+    return status_;
+  }
+
+ private:
+  pid_t pid_ = -1;
+  net::Socket output_;
+  std::string log_;
+  std::optional<int> status_;
+};
+
+struct Site {
+  net::Loop loop;
+  net::BufferPool pool{256};
+  StandInHost host{loop, pool};
+  TemporaryFile file;
+  nlohmann::json config;
+  std::optional<Process> program;
+
+  explicit Site(double deadline) {
+    config = {{"name", "n1"},
+              {"listen", "127.0.0.1:0"},
+              {"seed", "8c1f30d27a5be964"},
+              {"limits", {{"memory_mb", 64}, {"sockets", 256}}},
+              {"changelog", "127.0.0.1:9"},
+              {"known", {{"seq", 1}, {"results", nlohmann::json::array()}}}};
+    config["known"]["results"].push_back(
+        {{"seq", 1},
+         {"fleet",
+          {{"complete", true},
+           {"members",
+            {{{"id", "h0"}, {"host_port", host.server.address()}, {"phase", "ready"}, {"size", 1}}}}}}});
+    config["settings"] = {
+        {"Bounds", {{"SendCap", 3}, {"Cancel", true}, {"ConnectTimeout", 250}}},
+        {"Classes",
+         {{{"Name", "record"}, {"Semantics", "once"}, {"Aim", deadline}, {"HardLimit", deadline}}}},
+        {"FamilyInfo", {{"OnMiss", "load"}, {"LingerIdle", 9000}}},
+        {"Rules", {{"GraceToAnswer", 8}, {"DrainGrace", 250}}}};
+  }
+  // Starts it and gives the address on which it listens.
+  std::string start() {
+    file.write(config);
+    program.emplace(file.path());
+    REQUIRE(turn_until([&] { return program->log().find("listens on ") != std::string::npos; }));
+    const std::string& log = program->log();
+    const auto at = log.find("listens on ") + 11;
+    return log.substr(at, log.find('\n', at) - at);
+  }
+  template <typename Until>
+  bool turn_until(const Until& until) {
+    const Millis end = loop.now() + kWaitMost;
+    while (!until() && loop.now() < end) loop.turn(loop.now() + Millis(10), [] {});
+    return until();
+  }
+};
+
+class Client final : public net::Stream {
+ public:
+  Client(Site& site, const std::string& address)
+      : Stream(site.loop, site.pool, net::connect_to(address), true) {}
+  void call(const std::string& tag, int allow) {
+    std::string out;
+    const std::string fields = "ref=" + net::hex16(std::hash<std::string>()(tag)) +
+                               ",allow=" + std::to_string(allow) + ",lookup=00000000000000a1";
+    resp::write_array(out, {"CALL", tag, "record", fields, "x"});
+    write(out);
+  }
+  std::vector<resp::Words> got;
+  bool closed = false;
+
+ private:
+  resp::Parser parser_;
+  void connected() override { loop().flush_later(*this); }
+  void received(std::string_view bytes) override { REQUIRE(parser_.take(bytes, got)); }
+  void ended() override { closed = true; }
+};
+
+// Failure found (roll+mass): two in three invokers were killed with calls open, as each waited for its longest
+// deadline, while SIGKILL may come 3.7 s after SIGTERM.
+TEST_CASE("told to end, the program answers what is open before SIGKILL may come, however long its deadline") {
+  Site site(9000);
+  site.host.react = [](const std::string&) { return Reaction{Reaction::silence, ""}; };
+  Client client(site, site.start());
+  client.call("1", 9000);
+  REQUIRE(site.turn_until([&] { return site.host.execs == 1; }));
+  const Millis told = site.loop.now();
+  site.program->tell(SIGTERM);
+  REQUIRE(site.turn_until([&] { return !client.got.empty() || client.closed; }));
+  CHECK((site.loop.now() - told).count() < 3700);
+  REQUIRE(client.got.size() == 1);
+  CHECK(client.got[0] == resp::Words{"1", "FAILED"});
+  REQUIRE(site.turn_until([&] { return site.program->ended().has_value(); }));
+  CHECK(site.program->ended() == 0);
+  CHECK(site.host.drops == 1);
+}
+
+}  // namespace
+}  // namespace lotusyard::test
