End a connection whose host has not read its calls within the grace of a drain

Found in review (drain against a queued call): Link::retire in src/hosts/fleet.cpp let what a host had not read by the time it was told draining leave for another 1000 ms (kUnreadMost), while the rule gives 250 ms, or what the settings say. The time now comes from Rules.DrainGrace, four fifths of it.

Ruled out: that closing costs calls that would be answered (a host that reads ends its outbox in the turn it was written in; only a host that reads nothing for the whole grace is left).

The test has a host that reads nothing until the grace is over; it fails without the change.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -24,7 +24,8 @@
 constexpr Millis kCheckPace{50};
 constexpr Millis kPastKept{10000};  // for so long a late answer to an attempt that has ended may still come
 constexpr std::size_t kPastMost = 2048;
-constexpr Millis kUnreadMost{1000};  // what a host told draining has not read by then is not sent any more
+constexpr double kGraceShare = 0.8;  // of the grace after a drain: what has not left by then never will
+constexpr Millis kGraceLeast{50};    // the limits on sockets are longer by so much
 constexpr double kIdleShare =
     0.8;  // idle links go before the host closes them, or an attempt could cross that
 
@@ -117,7 +118,8 @@
     // Danger: bytes that a host does not read could leave long after it was told draining.
     if (unsent_too && !outbox().empty()) {
       fleet_.loop_.cancel(stuck_);
-      stuck_ = fleet_.loop_.at(fleet_.loop_.now() + kUnreadMost, [this] {
+      const Millis grace = std::max(fleet_.limits_.drain_grace * kGraceShare, kGraceLeast);
+      stuck_ = fleet_.loop_.at(fleet_.loop_.now() + grace, [this] {
         if (!outbox().empty()) end_later();
       });
     }
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -1,4 +1,8 @@
 // The platform's front and the hosts' connections, over loopback.
+#include <sys/socket.h>
+
+#include <cerrno>
+
 #include "helper.h"
 #include "net/fields.h"
 #include "resp/front.h"
@@ -354,6 +358,49 @@
   CHECK(p.world.host[0]->runs.count("y") == 0);
 }
 
+// Failure found in review: what waited unread for a host left up to 1 s after it was told draining.
+TEST_CASE("a call that a host told draining has not read is not sent once the grace is over") {
+  const net::Socket listener = net::listen_on("127.0.0.1:0");
+  World world(0);
+  const auto tell = [&](robinfold::WorkerState state) {
+    core::MemberList list;
+    list.members.emplace_back();
+    list.members[0].entry.worker = "h0";
+    list.members[0].entry.state = state;
+    list.members[0].address = net::bound_address(listener);
+    world.fleet.members(list);
+  };
+  const auto exec = [&](core::CallId id, std::size_t size) {
+    core::Call call;
+    call.ref = net::hex16(id);
+    call.class_name = "bin-check";
+    call.function_name = "00000000000000a1";
+    call.body = std::string(size, 'x');
+    world.fleet.exec({id, 0}, "h0", call, Millis(5000));
+  };
+  tell(robinfold::WorkerState::ready);
+  exec(0xa, 32U << 20);  // more than the kernel takes for a peer that does not read
+  exec(0xb, 1);
+  REQUIRE(world.turn_until([&] { return world.counters.value("hosts.links_up") == 1; }, 20000));
+  const net::Socket peer = net::accept_from(listener);
+  REQUIRE(static_cast<bool>(peer));
+  world.turn();
+  tell(robinfold::WorkerState::draining);
+  const Millis told = world.loop.now();
+  REQUIRE(world.turn_until([&] { return world.loop.now() - told > World::limits().drain_grace; }, 20000));
+  std::string got;
+  std::vector<char> bytes(1U << 20);
+  const auto drained = [&] {
+    ssize_t read = 0;
+    while ((read = recv(peer.fd(), bytes.data(), bytes.size(), 0)) > 0)
+      got.append(bytes.data(), static_cast<std::size_t>(read));
+    return read == 0 || (errno != EAGAIN && errno != EWOULDBLOCK) || got.find(net::hex16(0xb)) != got.npos;
+  };
+  REQUIRE(world.turn_until(drained, 20000));
+  CHECK(got.find("exec " + net::hex16(0xa)) == 0);
+  CHECK(got.find(net::hex16(0xb)) == got.npos);
+}
+
 // Failure found in review: bytes given to an ending connection were dropped, and the attempt counted as run.
 TEST_CASE("a call that comes in the very turn in which an idle connection ends goes out on a new one") {
   struct Desk final : core::Front {
