End an idle connection where as many are up as may be and a host has none

Found in review (hosts and descriptors): once the third of the descriptors that hosts may hold is used up, Fleet::link_for in src/hosts/fleet.cpp told connect_failed for every host without a connection, although idle ones to other hosts stay up for 0.8 of the idle time. With 256 descriptors (85 connections) and 120 hosts, or idle times of minutes, a third of the hosts could not be reached.

The test (two connections, four hosts) fails without the change; connections in use are not ended.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -56,6 +56,8 @@
 
   const std::string& host() const { return host_; }
   std::size_t load() const { return attempts_.size() + asked_.size(); }
+  bool idle() const { return open() && load() == 0 && outbox().empty(); }
+  Millis last_used() const { return std::max(heard_, sent_); }
   bool takes(const std::string& ref) const {
     return !ending() && !retired_ && !suspect_ && attempts_.size() < fleet_.limits_.attempts_a_link &&
            attempts_.count(ref) == 0 && past_.count(ref) == 0;
@@ -415,7 +417,8 @@
     if (best == nullptr || link->load() < best->load()) best = link.get();
   }
   if (best != nullptr) return best;
-  if (usable >= limits_.links_a_host || links_ >= limits_.links) {
+  // Danger: with more hosts than links may be up, those to hosts used a while ago would keep out all others.
+  if (usable >= limits_.links_a_host || (links_ >= limits_.links && !end_idle_link())) {
     counters_.add("hosts.no_link");
     return nullptr;
   }
@@ -430,6 +433,21 @@
   return host.links.back().get();
 }
 
+// Ends the one longest unused; false if none is idle.
+bool Fleet::end_idle_link() {
+  std::shared_ptr<Link> oldest;
+  for (const auto& [id, host] : hosts_) {
+    for (const auto& link : host.links) {
+      if (link->idle() && (!oldest || link->last_used() < oldest->last_used())) oldest = link;
+    }
+  }
+  if (!oldest) return false;
+  counters_.add("hosts.idle_ended");
+  oldest->end_later();
+  oldest->flush();  // at once: its descriptor is needed
+  return true;
+}
+
 void Fleet::later(std::function<void()> tell) { loop_.at(loop_.now(), std::move(tell)); }
 
 void Fleet::exec(const core::Attempt& attempt, const std::string& id, const core::Call& call,
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -56,6 +56,7 @@
 
   Host* ready_host(const std::string& id);
   Link* link_for(Host& host, const std::string& ref);
+  bool end_idle_link();
   void later(std::function<void()> tell);
   core::Report read_report(const std::string& text) const;
   void link_gone(Link& link);
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -359,6 +359,31 @@
   CHECK(p.world.host[0]->runs.count("y") == 0);
 }
 
+// Failure found in review: connections to hosts used a while ago kept all other hosts from being reached.
+TEST_CASE("with as many connections as may be up, an idle one makes room for a host that has none") {
+  hosts::Limits limits = World::limits();
+  limits.links = 2;
+  World world(4, settings(), limits);
+  core::CallId calls = 0;
+  const auto run = [&](std::size_t host) {
+    core::Call call;
+    call.ref = net::hex16(++calls);
+    call.class_name = "bin-check";
+    call.function_name = "00000000000000a1";
+    world.fleet.exec({calls, 0}, "h" + std::to_string(host), call, Millis(1000));
+    const auto answers = world.counters.value("hosts.answers.data");
+    return world.turn_until([&] { return world.counters.value("hosts.answers.data") > answers; }, 30);
+  };
+  CHECK((run(0) && run(1) && run(2)));
+  world.host[1]->react = world.host[2]->react = [](const std::string&) {
+    return Reaction{Kind::silence, ""};
+  };
+  CHECK_FALSE((run(1) || run(2)));  // both are in use now: neither may be ended
+  CHECK_FALSE(run(3));
+  CHECK(world.counters.value("hosts.no_link") == 1);
+  CHECK((world.host[1]->execs == 2 && world.host[2]->execs == 2 && world.host[3]->execs == 0));
+}
+
 // Failure found in review: what waited unread for a host left up to 1 s after it was told draining.
 TEST_CASE("a call that a host told draining has not read is not sent once the grace is over") {
   const net::Socket listener = net::listen_on("127.0.0.1:0");
