Ask for signs only where the settings allow probes

A sign is the host's `health`, which the protocol page calls a probe.

At fault: Link::check in src/hosts/fleet.cpp, which knew nothing of Bounds.Probes.

The test fails without the change.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -202,7 +202,7 @@
       fleet_.counters_.add(torn ? "hosts.cut_answers" : "hosts.silent_links");
       return end_later();
     }
-    if (open() && sign_asked_ <= heard_ && now - std::max(heard_, sent_) > quiet_most()) {
+    if (fleet_.limits_.probes && open() && sign_asked_ <= heard_ && now - std::max(heard_, sent_) > quiet_most()) {
       sign_asked_ = now;
       ++signs_;
       fleet_.counters_.add("hosts.signs_asked");
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -97,6 +97,7 @@
   host_limits.connect_timeout = config.settings.connect_timeout;
   host_limits.idle = config.connection_idle;
   host_limits.order_timeout = config.settings.order_timeout;
+  host_limits.probes = config.settings.probes;
   host_limits.drain_grace = config.settings.drain_grace;
   host_limits.attempts_a_link = config.attempts_a_link;
   host_limits.links = config.sockets / 3;
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -314,6 +314,23 @@
   CHECK(p.world.counters.value("hosts.silent_links") == (host.mute ? 1 : 0));
 }
 
+// Failure found in review: signs were asked for at sites whose settings forbid probes.
+TEST_CASE("no sign is asked for where probes are not allowed") {
+  hosts::Limits limits = World::limits();
+  limits.probes = false;
+  World world(1, settings(), limits);
+  world.host[0]->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  core::Call call;
+  call.ref = "000000000000000a";
+  call.class_name = "bin-check";
+  call.function_name = "00000000000000a1";
+  world.fleet.exec({1, 0}, "h0", call, Millis(500));
+  const Millis began = world.loop.now();
+  REQUIRE(world.turn_until([&] { return world.loop.now() - began > Millis(700); }, 20000));
+  CHECK(world.host[0]->execs == 1);
+  CHECK(world.counters.value("hosts.signs_asked") == 0);
+}
+
 TEST_CASE("an answer that brings more than belongs to it is taken; nothing new goes over its connection") {
   Platform p(1);
   const auto kind = GENERATE(Kind::twice, Kind::stranger);
