Refuse the calls on a connection for which there is no place before closing it

Found in review (descriptors filled by others): with all places of clients taken by connections that have calls open, Front::promote in src/resp/front.cpp ended a further connection without a word. Its calls are now answered BUSY, then it ends.

The test fails without the change.

--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -50,7 +50,7 @@
   void received(std::string_view bytes) override {
     std::vector<Words> commands;
     const bool sound = parser_.take(bytes, commands);
-    if (!commands.empty() && !front_.promote(*this)) return;
+    if (!commands.empty() && !front_.promote(*this)) return front_.turn_away(*this, commands);
     // A timer a begun request: the next one's time starts with its own first byte.
     if (begun_ && (!commands.empty() || !parser_.begun())) loop().cancel(whole_by_);
     if (parser_.begun() && (!begun_ || !commands.empty())) expect_whole();
@@ -123,7 +123,7 @@
 }
 
 // A whole request has come: the connection takes a place among the clients, of the one longest unheard with
-// no call open if need be. False if there is none: then it ends, with nothing sent on for it.
+// no call open if need be. False if there is none.
 bool Front::promote(Client& client) {
   clients_.splice(clients_.end(), client.asked ? clients_ : newcomers_, client.place);
   client.asked = true;
@@ -134,9 +134,18 @@
     shed(*idle, "resp.idle_closed");
     return true;
   }
+  return false;
+}
+
+// Nothing of it is sent on: its calls are refused, and the connection ends.
+void Front::turn_away(Client& client, const std::vector<Words>& commands) {
   counters_.add("resp.no_place");
+  for (const auto& words : commands) {
+    if (words.size() > 1 && words[0] == "CALL")
+      say(client, words[1], core::Verdict::refused, core::Millis(0), {});
+  }
+  client.flush_now();
   client.end_later();
-  return false;
 }
 
 // Danger: connections by hundreds that say nothing. The oldest goes, unless its request has come by now.
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -57,6 +57,7 @@
 
   void ready(short events) override;
   bool promote(Client& client);
+  void turn_away(Client& client, const std::vector<Words>& commands);
   void bound_newcomers();
   bool accept_some();
   void shed(const std::shared_ptr<Client>& client, const char* why);
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -198,6 +198,26 @@
   CHECK(p.world.turn_until([&] { return a.closed || b.closed; }, 20000));
 }
 
+// Failure found in review: a connection for which there was no place was closed without an answer.
+TEST_CASE("a call on a connection for which there is no place is refused, and reaches no host") {
+  resp::Front::Limits limits;
+  limits.clients = 2;
+  Platform p(1, limits);
+  p.world.host[0]->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  Client a(p.world, p.front.address()), b(p.world, p.front.address());
+  a.call("1", "bin-check", "a");
+  b.call("1", "bin-check", "b");
+  REQUIRE(p.world.turn_until([&] { return p.world.host[0]->execs == 2; }, 20000));
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-check", "c");
+  REQUIRE(c.answer("1") != nullptr);
+  CHECK(*c.answer("1") == resp::Words{"1", "BUSY"});
+  CHECK(p.world.turn_until([&] { return c.closed; }, 20000));
+  CHECK_FALSE((a.closed || b.closed));
+  CHECK(p.world.counters.value("resp.no_place") == 1);
+  CHECK(p.world.host[0]->execs == 2);
+}
+
 TEST_CASE("a connection that says nothing, or half a request, is closed; one that has asked may stay") {
   Platform p(1);
   Client usual(p.world, p.front.address()), silent(p.world, p.front.address()),
