Ask again for an event of the change log with a row that cannot be read

Found in review (lists): Log::event in src/feed/feed.cpp moved on to the event's number before it looked at the rows, and left out a row without an id; a list that is no array counted as an event with no rows. The host it named was lost for good. src/main.cpp passed over known events in the same way and then skipped to the last known number.

Now such an event is malformed: the log is asked again from the last whole event, and known events that cannot be read are asked of the change log. A whole list is taken past a gap too, as it makes up for all before it.

Three tests fail without the change, two of them over real connections.

--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -60,16 +60,23 @@
   if (!key(event, "seq").is_number_unsigned()) return Read::malformed;
   const std::uint64_t seq = config::large(key(event, "seq"));
   if (seq <= last_) return Read::nothing;
-  if (seq != last_ + 1) return Read::gap;
   const auto& list = key(event, "fleet");
-  last_ = seq;
-  if (!list.is_object()) return Read::nothing;  // a kind of event that is none of ours
   out.complete = config::flag(key(list, "complete"));
+  if (seq != last_ + 1 && !out.complete) return Read::gap;  // a whole list makes up for all before it
+  if (!event.contains("fleet")) {                           // a kind of event that is none of ours
+    last_ = seq;
+    return Read::nothing;
+  }
+  const auto& rows = key(list, "members");
+  if (!rows.is_array()) return Read::malformed;
   out.members.clear();
-  for (const auto& row : key(list, "members")) {
+  for (const auto& row : rows) {
     auto member = read_member(row);
-    if (!member.entry.worker.empty()) out.members.push_back(std::move(member));
+    // Danger: an event passed over for one row would lose a host for good. All of it is asked for again.
+    if (member.entry.worker.empty() || text(key(row, "phase")).empty()) return Read::malformed;
+    out.members.push_back(std::move(member));
   }
+  last_ = seq;
   return Read::news;
 }
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -114,12 +114,22 @@
     dispatcher.members(std::move(entries));
   };
   feed::Log log;
+  bool all_read = true;
   for (const auto& event : config.known_events) {
     core::MemberList list;
-    if (log.event(event, list) != feed::Log::Read::news) continue;
-    told(list, list.complete ? core::ListKind::cached : core::ListKind::delta);
+    const auto read = log.event(event, list);
+    all_read = all_read && (read == feed::Log::Read::news || read == feed::Log::Read::nothing);
+    if (!all_read) break;  // the change log tells the rest again
+    if (read == feed::Log::Read::news)
+      told(list, list.complete ? core::ListKind::cached : core::ListKind::delta);
+  }
+  if (all_read) {
+    log.skip_to(config.known_seq);
+  } else {
+    counters.add("feed.known_unread");
+    std::cerr << "lotusyard: known: an event cannot be read; asking the change log from " << log.last()
+              << std::endl;
   }
-  log.skip_to(config.known_seq);
   const auto told_later = [&](const core::MemberList& list) {
     told(list, list.complete ? core::ListKind::full : core::ListKind::delta);
   };
--- a/tests/lotusyard/feed_test.cpp
+++ b/tests/lotusyard/feed_test.cpp
@@ -6,44 +6,6 @@
 namespace lotusyard::test {
 namespace {
 
-// Answers `since N` with the later events, cut anywhere; breaks off after a random part, or stops there and
-// stays open.
-struct StandInLog {
-  class Peer final : public net::Stream {
-   public:
-    Peer(StandInLog& log, net::Loop& loop, net::BufferPool& pool, net::Socket socket)
-        : Stream(loop, pool, std::move(socket), false), log_(log) {}
-
-   private:
-    StandInLog& log_;
-    feed::LineCutter cutter_;
-    void received(std::string_view bytes) override {
-      std::vector<std::string> lines;
-      REQUIRE(cutter_.take(bytes, lines));
-      for (const auto& line : lines) {
-        REQUIRE(line.compare(0, 6, "since ") == 0);
-        log_.asked.push_back(std::stoull(line.substr(6)));
-        std::string text;
-        for (std::size_t i = log_.asked.back(); i < log_.events; ++i) {
-          text += R"({"seq":)" + std::to_string(i + 1) + R"(,"fleet":{"complete":false,"members":[{"id":"s)" +
-                  std::to_string(i + 1) + R"(","host_port":"127.0.0.1:9","phase":"ready"}]}})" + "\n";
-        }
-        text += std::to_string(log_.events) + "\n";
-        write(text.substr(0, below(log_.random, text.size() + 1)));
-        flush_now();
-        if (!log_.stays_open) end_later();
-      }
-    }
-    void ended() override { log_.server.gone(*this); }
-  };
-  StandInLog(net::Loop& loop, net::BufferPool& pool) : server(loop, pool, *this) {}
-  Random random{6};
-  Server<Peer, StandInLog> server;
-  std::size_t events = 20;
-  std::vector<std::uint64_t> asked;
-  bool stays_open = false;
-};
-
 TEST_CASE("a change log that breaks off anywhere is taken up again; each event is told once, in order") {
   net::Loop loop;
   net::BufferPool pool(64);
@@ -110,5 +72,26 @@
   CHECK(log.asked.back() == told);
 }
 
+// Failure found in review: an event with a row that cannot be read was passed over, and its host lost for
+// good.
+TEST_CASE("an event with a host that cannot be read is asked for again, and told once it can be") {
+  net::Loop loop;
+  net::BufferPool pool(64);
+  core::Counters counters;
+  StandInLog log(loop, pool);
+  log.events = 4;
+  log.spoilt_once = 3;
+  log.breaks_off = false;
+  log.stays_open = true;
+  std::vector<std::string> told;
+  feed::Feed feed(loop, pool, counters, log.server.address(), feed::Log(0),
+                  [&](const core::MemberList& list) { told.push_back(list.members.at(0).entry.worker); });
+  feed.start();
+  for (int i = 0; i < 5000 && told.size() < 4; ++i) loop.turn(loop.now() + Millis(20), [] {});
+  CHECK(told == std::vector<std::string>{"s1", "s2", "s3", "s4"});
+  CHECK(log.asked == std::vector<std::uint64_t>{0, 2});
+  CHECK(counters.value("feed.malformed_or_gap") == 1);
+}
+
 }  // namespace
 }  // namespace lotusyard::test
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -15,6 +15,7 @@
 #include "amqp/front.h"
 #include "amqp/methods.h"
 #include "core/dispatcher.h"
+#include "feed/feed.h"
 #include "hosts/fleet.h"
 #include "hosts/line_parser.h"
 #include "net/loop.h"
@@ -107,6 +108,48 @@
   std::string address_;
 };
 
+// Answers `since N` with the later events, cut anywhere; breaks off after a random part, or stops there and
+// stays open.
+struct StandInLog {
+  class Peer final : public net::Stream {
+   public:
+    Peer(StandInLog& log, net::Loop& loop, net::BufferPool& pool, net::Socket socket)
+        : Stream(loop, pool, std::move(socket), false), log_(log) {}
+
+   private:
+    StandInLog& log_;
+    feed::LineCutter cutter_;
+    void received(std::string_view bytes) override {
+      std::vector<std::string> lines;
+      REQUIRE(cutter_.take(bytes, lines));
+      for (const auto& line : lines) {
+        REQUIRE(line.compare(0, 6, "since ") == 0);
+        log_.asked.push_back(std::stoull(line.substr(6)));
+        std::string text;
+        for (std::size_t i = log_.asked.back(); i < log_.events; ++i) {
+          const std::string number = std::to_string(i + 1);
+          const bool spoilt = log_.spoilt_once == i + 1 && log_.asked.size() == 1;
+          text += R"({"seq":)" + number + R"(,"fleet":{"complete":false,"members":[{")" +
+                  (spoilt ? "i" : "id") + R"(":"s)" + number +
+                  R"(","host_port":"127.0.0.1:9","phase":"ready"}]}})" + "\n";
+        }
+        text += std::to_string(log_.events) + "\n";
+        write(text.substr(0, log_.breaks_off ? below(log_.random, text.size() + 1) : text.size()));
+        flush_now();
+        if (!log_.stays_open) end_later();
+      }
+    }
+    void ended() override { log_.server.gone(*this); }
+  };
+  StandInLog(net::Loop& loop, net::BufferPool& pool) : server(loop, pool, *this) {}
+  Random random{6};
+  Server<Peer, StandInLog> server;
+  std::size_t events = 20;
+  std::vector<std::uint64_t> asked;
+  std::size_t spoilt_once = 0;  // the number of an event whose row has no id, the first time
+  bool stays_open = false, breaks_off = true;
+};
+
 // What a stand-in host does with one exec. `stall`: half an answer, and then nothing more on that connection.
 struct Reaction {
   enum Kind { reply, silence, half, hang_up, stall, twice, stranger, noise, no_length } kind = reply;
@@ -139,7 +182,7 @@
   std::map<std::string, int> runs;  // by body: execs that may have run
   std::string last_fields;          // of the last exec, as they came
   int execs = 0, drops = 0, orders = 0;
-  bool mute = false;  // asked for a sign it gives none, as if cut off
+  bool mute = false;   // asked for a sign it gives none, as if cut off
   bool loads = false;  // orders to load come to no end
 
  private:
--- a/tests/lotusyard/parsers_test.cpp
+++ b/tests/lotusyard/parsers_test.cpp
@@ -157,7 +157,15 @@
   CHECK(log.line("6", list) == feed::Log::Read::gap);
   CHECK(log.line(event(6), list) == feed::Log::Read::gap);
   CHECK(log.line("{", list) == feed::Log::Read::malformed);
+  for (const char* bad :
+       {R"({"fleet":{"members":[]}})", R"({"seq":5,"fleet":7})", R"({"seq":5,"fleet":{"members":{}}})",
+        R"({"seq":5,"fleet":{"members":[7]}})", R"({"seq":5,"fleet":{"members":[{"id":"s"}]}})"}) {
+    CHECK(log.line(bad, list) == feed::Log::Read::malformed);
+  }
   CHECK(log.last() == 4);
+  CHECK(log.line(R"({"seq":5,"tariff":{}})", list) == feed::Log::Read::nothing);
+  CHECK(log.line(R"({"seq":9,"fleet":{"complete":true,"members":[]}})", list) == feed::Log::Read::news);
+  CHECK(log.last() == 9);
 }
 
 }  // namespace
--- a/tests/lotusyard/process_test.cpp
+++ b/tests/lotusyard/process_test.cpp
@@ -151,6 +151,18 @@
   void ended() override { closed = true; }
 };
 
+// Failure found in review: known events that cannot be read were passed over, and never asked for.
+TEST_CASE("known events that cannot be read are asked of the change log") {
+  Site site(1000);
+  StandInLog log(site.loop, site.pool);
+  site.config["changelog"] = log.server.address();
+  site.config["known"]["seq"] = 2;
+  site.config["known"]["results"].push_back({{"seq", 2}, {"fleet", {{"members", {{{"phase", "gone"}}}}}}});
+  site.start();
+  REQUIRE(site.turn_until([&] { return !log.asked.empty(); }));
+  CHECK(log.asked.front() == 1);
+}
+
 // Failure found (roll+mass): two in three invokers were killed with calls open, as each waited for its
 // longest deadline, while SIGKILL may come 3.7 s after SIGTERM.
 TEST_CASE(
