--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -159,7 +159,7 @@
   std::unordered_map<std::string, bool> past_;  // refs whose attempt here has ended: answered, or dropped
   std::deque<std::pair<Millis, std::string>> past_order_;
   Millis heard_{0}, sent_{0}, begun_{0}, sign_asked_{0}, patience_{0};
-  int signs_ = 0;  // asked for since the last answer, or since nothing was out
+  int signs_ = 0;  // asked for since the last answer, or the end of an order
   bool retired_ = false, suspect_ = false, checking_ = false;
   net::Loop::TimerId timer_{}, stuck_{}, check_{};
 
@@ -245,7 +245,6 @@
     if (connecting()) return;
     fleet_.loop_.cancel(timer_);
     if (load() > 0) return;
-    signs_ = 0;
     const Millis idle = retired_ || suspect_ ? Millis(0) : fleet_.limits_.idle * kIdleShare;
     timer_ = fleet_.loop_.at(fleet_.loop_.now() + idle, [this] { end_later(); });
   }
@@ -268,6 +267,7 @@
     if (found == asked_.end()) return;
     const Asked asked = found->second;
     asked_.erase(found);
+    signs_ = 0;
     rest();
     end_asked(asked, Outcome::timeout, 0, std::nullopt);
   }
