Name a setting of the wrong kind at start and at SIGHUP instead of reading it as absent

A cold time of "17000" became 0 and switched the guard of cold hosts off, a ration of "0.15" allowed no order, an unknown KeyScope became `all`, which lets calls be repeated anywhere. Only limits, SendCap, class names and deadlines were checked.

Now src/config/config.cpp checks the kind and sign of all that is read, and the words of those with a fixed set; the message names the key. Absent (or null) settings keep their defaults, unknown keys are ignored as before.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,6 +1,8 @@
 #include "config/config.h"
 
+#include <algorithm>
 #include <fstream>
+#include <initializer_list>
 #include <random>
 
 #include "config/json_read.h"
@@ -100,6 +102,68 @@
   return *read;
 }
 
+// What is there must be of its kind: read as absent, a limit or a rule would silently not hold. Unknown keys
+// are nobody's business.
+void check_numbers(const json& part, const std::string& path, std::initializer_list<const char*> names) {
+  for (const char* name : names) number_within(part, name, path + '.' + name, 0, 0, 1e15);
+}
+void check_flags(const json& part, const std::string& path, std::initializer_list<const char*> names) {
+  for (const char* name : names) {
+    const json& value = key(part, name);
+    if (!value.is_null() && !value.is_boolean()) fault(path + '.' + name, "true or false is needed");
+  }
+}
+void check_word(const json& part, const char* name, const std::string& path,
+                std::initializer_list<const char*> words) {
+  const json& value = key(part, name);
+  if (value.is_null()) return;
+  const std::string read = text(value);
+  const bool known = value.is_string() &&
+                     std::any_of(words.begin(), words.end(), [&](const char* word) { return read == word; });
+  if (!known) fault(path + '.' + name, "no word that is known here: " + value.dump());
+}
+void check_rows(const json& part, const char* name, const std::string& path) {
+  const json& rows = key(part, name);
+  if (rows.is_null()) return;
+  const bool objects = rows.is_array() &&
+                       std::all_of(rows.begin(), rows.end(), [](const json& row) { return row.is_object(); });
+  if (!objects) fault(path + '.' + name, "an array of objects is needed");
+}
+
+void check_kinds(const json& env) {
+  const std::string path = "settings";
+  for (const char* name : {"Bounds", "Rules", "FamilyInfo", "LoadInfo", "Prices"}) {
+    const json& part = key(env, name);
+    if (!part.is_null() && !part.is_object()) fault(path + '.' + name, "an object is needed");
+  }
+  for (const char* name : {"Classes", "Tenants"}) check_rows(env, name, path);
+  check_numbers(env, path, {"Balancers", "Rank", "Tick", "OverShareWorth"});
+  check_word(env, "RegistryMode", path, {"push", "ask"});
+  check_word(env, "WorthBy", path, {"request", "work"});
+  const json& bounds = key(env, "Bounds");
+  check_numbers(bounds, path + ".Bounds", {"ConnectTimeout", "MaxRetryAfter"});
+  check_flags(bounds, path + ".Bounds", {"Cancel", "SecondCopies", "Probes", "PeerMessages", "RetryAfter"});
+  check_numbers(key(env, "Rules"), path + ".Rules",
+                {"GraceToAnswer", "DrainGrace", "MustAskIn", "Cold", "ColdFrom", "FallMultiple", "TipAfter"});
+  const json& family = key(env, "FamilyInfo");
+  check_numbers(family, path + ".FamilyInfo",
+                {"LingerIdle", "LoadFloor", "LoadRatio", "LoadWindow", "OrderTimeout", "PriceOfIdle"});
+  check_flags(family, path + ".FamilyInfo", {"Orders", "TellsWarm", "NotesPeersInHand"});
+  check_word(family, "OnMiss", path + ".FamilyInfo", {"load", "miss"});
+  check_numbers(key(env, "Prices"), path + ".Prices", {"CrossZone", "Origin", "Probe"});
+  check_word(key(env, "LoadInfo"), "How", path + ".LoadInfo", {"piggyback", "pull", "silent"});
+  for (const auto& row : key(env, "Classes")) {
+    const std::string at = path + ".Classes[" + text(key(row, "Name")) + ']';
+    check_numbers(row, at, {"Aim", "HardLimit", "Gain", "LateValue", "KeyTtl", "AimStretch"});
+    check_word(row, "Semantics", at, {"repeatable", "by_key", "once"});
+    check_word(row, "KeyScope", at, {"all", "zone", "cell"});
+    check_flags(row, at, {"Stream"});
+  }
+  for (const auto& row : key(env, "Tenants")) {
+    check_numbers(row, path + ".Tenants[" + text(key(row, "Name")) + ']', {"Share", "QuotaPerS"});
+  }
+}
+
 void check_settings(const json& env, const Config& config) {
   const auto& classes = key(env, "Classes");
   if (!classes.is_array() || classes.empty()) fault("settings.Classes", "at least one class is needed");
@@ -144,6 +208,7 @@
     out.known_events = key(known, "results");
   }
   const json& env = object(file, "settings");
+  check_kinds(env);
   const json& bounds = key(env, "Bounds");
   number_within(bounds, "SendCap", "settings.Bounds.SendCap", 1, 1, 1000);
   out.connection_idle = Millis(number_within(bounds, "ConnIdle", "settings.Bounds.ConnIdle", 15000, 1, 1e9));
--- a/tests/lotusyard/config_test.cpp
+++ b/tests/lotusyard/config_test.cpp
@@ -50,6 +50,41 @@
   }
 }
 
+// Failure found in review: a setting of the wrong kind was read as absent, so that its rule or limit did not
+// hold.
+TEST_CASE(
+    "a setting of the wrong kind is refused by the name of its key; unknown keys and absent ones are not") {
+  const std::vector<std::pair<const char*, json>> faults = {{"settings.Rules", 5},
+                                                            {"settings.Rules.DrainGrace", "250"},
+                                                            {"settings.Rules.Cold", -1},
+                                                            {"settings.Bounds.Probes", "no"},
+                                                            {"settings.Bounds.ConnectTimeout", json::array()},
+                                                            {"settings.FamilyInfo.LoadRatio", "0.15"},
+                                                            {"settings.FamilyInfo.OnMiss", "wait"},
+                                                            {"settings.Balancers", "three"},
+                                                            {"settings.RegistryMode", 1},
+                                                            {"settings.LoadInfo.How", "push"},
+                                                            {"settings.Tenants", json{{"Name", "a"}}},
+                                                            {"settings.Tenants.0.Share", "half"},
+                                                            {"settings.Classes.0.Aim", "soon"},
+                                                            {"settings.Classes.0.Semantics", "twice"},
+                                                            {"settings.Classes.0.KeyScope", "planet"},
+                                                            {"settings.Classes.0.Stream", "yes"}};
+  for (const auto& [name, value] : faults) {
+    std::string path = "/" + std::string(name);
+    std::replace(path.begin(), path.end(), '.', '/');
+    json file = good();
+    file["settings"]["Tenants"] = json::array({{{"Name", "a"}, {"Share", 1}}});
+    REQUIRE(fault_of(file).empty());
+    file[json::json_pointer(path)] = value;
+    CHECK_THAT(fault_of(file), Catch::Contains("." + json::json_pointer(path).back() + ": "));
+  }
+  json file = good();
+  file["settings"]["Rules"] = {{"DrainGrace", nullptr}, {"Curfew", "22:00"}};
+  file["settings"]["Lanterns"] = {1, "two"};
+  CHECK(fault_of(file).empty());
+}
+
 TEST_CASE("triggers need a broker and queues, and make platform keys optional") {
   json file = good();
   file.erase("listen");
