Forget the loads and copies at a worker that a whole list leaves out

Found in review (lists that come whole): State::on(List) in src/policy.cpp made a worker that a whole list no longer names gone, but only take_entry, which sees named ones, forgot what it was believed to load. Such a load held its slot of four and counted as under way in `shed`, so that calls past their aims were held for it (up to three load times) instead of being answered at once.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -385,7 +385,9 @@
       take_entry(place->second, entry);
     }
     for (auto& w : workers_) {
-      if (e.kind != ListKind::delta && w.listed != list_version_) w.state = WorkerState::gone;
+      const bool missing = e.kind != ListKind::delta && w.listed != list_version_;
+      if (missing && w.state != WorkerState::gone) forget_copies(index_of(w));
+      if (missing) w.state = WorkerState::gone;
       if (w.state != WorkerState::gone) w.gone = now_;
     }
     pump_all();
@@ -700,8 +702,7 @@
   // Danger: calls held past their aims take the lanes of calls that could meet theirs, and all are late. They
   // end at once, but for those that a load of ours is on the way for.
   void shed(Function& f) {
-    bool loading = false;
-    for (const auto& c : f.copies) loading = loading || c.loading > 0;
+    const bool loading = std::any_of(f.copies.begin(), f.copies.end(), [](auto& c) { return c.loading > 0; });
     for (const auto serial : std::deque<std::uint64_t>(f.queue)) {
       Request& r = requests_.at(serial);
       const bool too_late = now_ + Millis(base_of(f)) > r.deadline;
@@ -999,8 +1000,7 @@
   // names a place ends well before it is given to another.
   void prune_workers() {
     for (auto& w : workers_) {
-      const bool unused = w.state == WorkerState::gone && w.inflight == 0 && now_ - w.gone > kForget;
-      if (!unused || w.worker.empty()) continue;
+      if (w.worker.empty() || w.state != WorkerState::gone || w.inflight || now_ < w.gone + kForget) continue;
       forget_copies(index_of(w));
       const auto tag = tags_.find(tag_of(w.hash));
       if (tag != tags_.end() && tag->second == index_of(w)) tags_.erase(tag);
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -53,6 +53,22 @@
   EXPECT_EQ(chosen.size(), 1U);
 }
 
+// Failure found in review: loads at a worker that a whole list left out counted as under way, so that calls waited
+// on for them past their aims.
+TEST(Lists, NothingWaitsForALoadAtAWorkerThatIsGone) {
+  for (const bool whole : {false, true}) {
+    Router r;
+    r.list({entry("a")});
+    r.request("x");
+    ASSERT_EQ(r.loads.size(), 1U);
+    if (whole) r.list({});
+    if (!whole) r.list({entry("a", WorkerState::gone)}, ListKind::delta);
+    r.pass(1100);  // the aim is 1000
+    EXPECT_EQ(r.refused, std::vector<std::string>{"x"}) << (whole ? "whole" : "change");
+    EXPECT_FALSE(r.broken);
+  }
+}
+
 // Failure found: with 100 routers a cold worker's budget was below one call for each and it was never warmed.
 TEST(Rule4, ManyRoutersTakeTurnsAtAColdWorker) {
   double calls = 0;
