Give a host as many connections as its calls need where each carries few

Suspected: (1) idle times that let connections end: ruled out, hosts.links_opened is 72 in all. (2) Hosts that accept no more: ruled out, hosts.connect_failed and connect_timeouts are 0. (3) Four connections a host, whatever they carry: at fault, `links_a_host` in src/hosts/fleet.h. A call without a connection is told as connect_failed, so the module doubts a host that is well and, as it may not probe, leaves it out.

The test fails without the change.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -368,7 +368,10 @@
 };
 
 Fleet::Fleet(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, Limits limits)
-    : loop_(loop), pool_(pool), counters_(counters), limits_(std::move(limits)) {}
+    : loop_(loop), pool_(pool), counters_(counters), limits_(std::move(limits)) {
+  // Danger: where a connection carries few calls, a fixed number of them would keep a host's lanes empty.
+  limits_.links_a_host = std::max(limits_.links_a_host, limits_.calls_a_host / limits_.attempts_a_link);
+}
 Fleet::~Fleet() = default;
 
 void Fleet::members(const core::MemberList& list) {
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -418,6 +418,25 @@
   CHECK(p.world.host[0]->runs.count("y") == 0);
 }
 
+// Failure found on a variant of the settings: where a connection carries one call, a host got four calls at most.
+TEST_CASE("a host gets as many connections as its calls need, and a bound on them") {
+  hosts::Limits limits = World::limits();
+  limits.attempts_a_link = 1;
+  limits.calls_a_host = 12;
+  World world(1, settings(), limits);
+  world.host[0]->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  for (core::CallId id = 1; id <= 20; ++id) {
+    core::Call call;
+    call.ref = net::hex16(id);
+    call.class_name = "bin-check";
+    call.function_name = "00000000000000a1";
+    world.fleet.exec({id, 0}, "h0", call, Millis(5000));
+  }
+  REQUIRE(world.turn_until([&] { return world.host[0]->execs >= 12; }, 200));
+  CHECK(world.host[0]->execs == 12);
+  CHECK(world.counters.value("hosts.no_link") == 8);
+}
+
 // Failure found in review: connections to hosts used a while ago kept all other hosts from being reached.
 TEST_CASE("with as many connections as may be up, an idle one makes room for a host that has none") {
   hosts::Limits limits = World::limits();
