Take calls where the settings do not tell the memory of hosts

Found in review (settings): Dispatcher::fault_of in src/core/dispatcher.cpp fails a call whose copy needs more memory than any kind of host has. Where Kinds are named without MemoryMbByKind each reads as 0 MB, and every call was failed as calls.bad_figures: a process that runs would serve nobody. Only an empty list of kinds was thought of.

The test fails without the change.

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -41,8 +41,9 @@
       std::none_of(tenants.begin(), tenants.end(), named(call.tenant))) {
     return "calls.unknown_tenant";
   }
-  double most_mb = settings_.kind_memory_mb.empty() ? kMostMemoryMb : 0;
+  double most_mb = 0;
   for (const auto& [kind, megabytes] : settings_.kind_memory_mb) most_mb = std::max(most_mb, megabytes);
+  if (!(most_mb > 0)) most_mb = kMostMemoryMb;  // not told
   if (!(call.memory_mb >= 0 && call.memory_mb <= most_mb)) return "calls.bad_figures";
   if (call.lanes < 1 || call.lanes > kMostLanes) return "calls.bad_figures";
   // A client's patience is at most its class's; a millisecond for rounding.
--- a/tests/lotusyard/core_test.cpp
+++ b/tests/lotusyard/core_test.cpp
@@ -184,6 +184,17 @@
   CHECK(b.counters.value("calls.bad_figures") == 7);
 }
 
+// Failure found in review: settings that name kinds of hosts and not their memory had every call failed.
+TEST_CASE("calls are taken where the memory of a kind of host is not told") {
+  core::Settings s = settings();
+  s.kind_memory_mb["std"] = 0;
+  Bench b(1, s);
+  const auto id = b.call("bin-check", "a");
+  CHECK(b.counters.value("calls.bad_figures") == 0);
+  CHECK(b.desk.attempts.size() == 1);
+  CHECK(b.desk.attempts.begin()->first.call == id);
+}
+
 TEST_CASE("a call for which there is no host is answered by its deadline") {
   Bench b(0);
   const auto id = b.call("bin-record", "r");
