Tell an invoker's module of no peers: it probed hosts to tell what nobody hears

Where peers are allowed State::watch_loads in src/policy.cpp probes each worker once a second for them, but src/core/module.cpp drops what is told to peers: the protocol of the invoker has no such message. src/config/config.cpp now says so to the module; the adapter keeps them.

The test fails without the change.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -215,6 +215,7 @@
   out.attempts_a_link = static_cast<std::size_t>(
       number_within(bounds, "StreamsPerConn", "settings.Bounds.StreamsPerConn", 32, 1, 1e6));
   out.settings = read_settings(env, out.seed);
+  out.settings.peers = false;  // an invoker has no way to tell others anything: what is for them is wasted
   if (!(out.settings.connect_timeout.count() > 0)) out.settings.connect_timeout = Millis(250);
   if (!(out.settings.order_timeout.count() > 0)) out.settings.order_timeout = Millis(10000);
   for (const auto& field : key(key(env, "LoadInfo"), "Fields")) out.report_fields.push_back(text(field));
--- a/tests/lotusyard/config_test.cpp
+++ b/tests/lotusyard/config_test.cpp
@@ -85,6 +85,19 @@
   CHECK(fault_of(file).empty());
 }
 
+// Failure found on a variant of the settings with peer messages: hosts were probed to tell invokers that hear
+// nothing.
+TEST_CASE("the module of an invoker has no peers, whatever the settings allow") {
+  json file = good();
+  file["settings"]["Bounds"]["PeerMessages"] = true;
+  file["settings"]["Bounds"]["Probes"] = true;
+  file["settings"]["Balancers"] = 30;
+  file["settings"]["LoadInfo"]["How"] = "pull";
+  const auto settings = config::read_config(file, "", "").settings;
+  CHECK((settings.probes && settings.routers == 30 && settings.reports == robinfold::ReportMode::probe));
+  CHECK_FALSE(settings.peers);
+}
+
 TEST_CASE("triggers need a broker and queues, and make platform keys optional") {
   json file = good();
   file.erase("listen");
