--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -17,11 +17,11 @@
 using net::field;
 
 constexpr Millis kSilent{400};  // an attempt dropped on a link that was silent for so long: it may be cut off
-constexpr Millis kQuietLeast{200};  // a link with something out is asked for a sign once silent for so long
+constexpr Millis kQuietLeast{200};  // a link with something out gets a health check once silent so long
 constexpr double kQuietShare =
-    0.15;                          // and for this part of the patience of what is out, over how much is out
-constexpr Millis kSignMost{250};   // and ended if none comes: a host answers that beside its queue
-constexpr Millis kWholeMost{200};  // an answer that has begun is whole by then, or its rest never comes
+    0.15;                           // and for this part of the patience of what is out, over how much is out
+constexpr Millis kHealthMost{250};  // and is ended if no answer comes: it is answered beside the queue
+constexpr Millis kWholeMost{200};   // an answer that has begun is whole by then, or its rest never comes
 constexpr Millis kCheckPace{50};
 constexpr Millis kPastKept{10000};  // for so long a late answer to an attempt that has ended may still come
 constexpr std::size_t kPastMost = 2048;
@@ -141,7 +141,7 @@
     Millis until{0};
   };
   struct Asked {
-    enum class Kind { order, probe, sign };  // sign: whether anything comes over this link at all
+    enum class Kind { order, probe, health_check };  // the last: does anything come over this link at all
     Kind kind = Kind::order;
     std::uint64_t function = 0;
     Millis at{0};
@@ -158,8 +158,8 @@
   std::deque<std::pair<std::string, std::string>> said_;
   std::unordered_map<std::string, bool> past_;  // refs whose attempt here has ended: answered, or dropped
   std::deque<std::pair<Millis, std::string>> past_order_;
-  Millis heard_{0}, sent_{0}, begun_{0}, sign_asked_{0}, patience_{0};
-  int signs_ = 0;  // asked for since the last answer, or the end of an order
+  Millis heard_{0}, sent_{0}, begun_{0}, checked_{0}, patience_{0};
+  int health_checks_ = 0;  // since the last answer, or the end of an order
   bool retired_ = false, suspect_ = false, checking_ = false;
   net::Loop::TimerId timer_{}, stuck_{}, check_{};
 
@@ -185,31 +185,32 @@
     if (std::exchange(checking_, true)) return;  // one timer a link
     check_ = fleet_.loop_.at(sent_ + kCheckPace, [this] { check(); });
   }
-  // Danger: each sign is a probe that costs its host and is paid for. A host that loads a copy for the one
-  // call out here is silent for many runs, and each sign it gives says that it's well: the next is due later.
+  // Danger: each health check is a probe that costs its host and is paid for. A host that loads a copy for
+  // the one call out here is silent for many runs, and each check it answers says that it's well: the next is
+  // due later.
   Millis quiet_most() const {
     const double share = kQuietShare / static_cast<double>(std::max<std::size_t>(attempts_.size(), 1));
-    return std::max(kQuietLeast, share * patience_) * std::exp2(signs_);
+    return std::max(kQuietLeast, share * patience_) * std::exp2(health_checks_);
   }
   // Danger: a link over which nothing comes any more, or never the rest of an answer, holds whatever is out
-  // on it to the deadline, though its host serves others well. One sign asked for tells it from a busy host.
+  // on it to the deadline, though its host serves others well. One health check tells it from a busy host.
   void check() {
     checking_ = false;
     if (load() == 0 || ending()) return;
     const Millis now = fleet_.loop_.now();
     const bool torn = begun_.count() > 0 && now - begun_ > kWholeMost;
-    const bool unsigned_ = sign_asked_ > heard_ && now - sign_asked_ > kSignMost;
-    if (open() && (torn || unsigned_)) {
+    const bool unanswered = checked_ > heard_ && now - checked_ > kHealthMost;
+    if (open() && (torn || unanswered)) {
       fleet_.counters_.add(torn ? "hosts.cut_answers" : "hosts.silent_links");
       return end_later();
     }
-    if (fleet_.limits_.probes && open() && sign_asked_ <= heard_ &&
+    if (fleet_.limits_.probes && open() && checked_ <= heard_ &&
         now - std::max(heard_, sent_) > quiet_most()) {
-      sign_asked_ = now;
-      ++signs_;
-      fleet_.counters_.add("hosts.signs_asked");
-      const std::string tag = "s" + std::to_string(++fleet_.last_tag_);
-      ask(tag, Asked::Kind::sign, 0, "health " + tag);
+      checked_ = now;
+      ++health_checks_;
+      fleet_.counters_.add("hosts.health_checks");
+      const std::string tag = "h" + std::to_string(++fleet_.last_tag_);
+      ask(tag, Asked::Kind::health_check, 0, "health " + tag);
     }
     if (std::exchange(checking_, true)) return;
     check_ = fleet_.loop_.at(now + kCheckPace, [this] { check(); });
@@ -267,7 +268,7 @@
     if (found == asked_.end()) return;
     const Asked asked = found->second;
     asked_.erase(found);
-    signs_ = 0;
+    health_checks_ = 0;
     rest();
     end_asked(asked, Outcome::timeout, 0, std::nullopt);
   }
@@ -306,17 +307,17 @@
     const auto fields = net::parse_fields(reply.fields);
     const bool plain = std::all_of(reply.id.begin(), reply.id.end(),
                                    [](char c) { return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'z'); });
-    const bool sign = reply.word == "well" || reply.word == "ill";
-    if (!fields || !plain || !(known_word(reply.word) || sign)) return false;
+    const bool health = reply.word == "well" || reply.word == "ill";
+    if (!fields || !plain || !(known_word(reply.word) || health)) return false;
     const net::Fields& read = *fields;
     if (const auto found = attempts_.find(reply.id); found != attempts_.end()) {
-      const Outcome outcome = sign ? Outcome::error : outcomes().at(reply.word);
+      const Outcome outcome = health ? Outcome::error : outcomes().at(reply.word);
       // Danger: an answer that lost its end would be served as an empty body, which no host has given.
-      if (sign || (outcome == Outcome::ok && !reply.body)) return false;
+      if (health || (outcome == Outcome::ok && !reply.body)) return false;
       const core::Attempt attempt = found->second.attempt;
       attempts_.erase(found);
       fleet_.attempts_.erase(attempt);
-      signs_ = 0;
+      health_checks_ = 0;
       past(reply.id, true);
       fleet_.counters_.add("hosts.answers." + reply.word);
       const int crowd = static_cast<int>(net::parse_whole(field(read, "crowd"), 1000000).value_or(0));
@@ -327,7 +328,7 @@
       const Asked asked = answered->second;
       fleet_.loop_.cancel(asked.timer);
       asked_.erase(answered);
-      if (asked.kind != Asked::Kind::sign) signs_ = 0;
+      if (asked.kind != Asked::Kind::health_check) health_checks_ = 0;
       const Outcome outcome = reply.word == "well"  ? Outcome::ok
                               : reply.word == "ill" ? Outcome::error
                                                     : outcomes().at(reply.word);
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -19,7 +19,7 @@
 
 struct Limits {
   Millis connect_timeout{250}, idle{15000}, order_timeout{10000}, drain_grace{250};
-  bool probes = true;  // signs are probes: asked for only where those are allowed
+  bool probes = true;  // health checks of a link are probes too: none without these
   std::size_t attempts_a_link = 32, links_a_host = 4, links = 256;
   std::size_t calls_a_host = 64;  // a host gets as many connections as these need, and no fewer than above
   std::vector<std::string> report_fields;  // in the order in which the module wants them
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -182,7 +182,7 @@
   std::map<std::string, int> runs;  // by body: execs that may have run
   std::string last_fields;          // of the last exec, as they came
   int execs = 0, drops = 0, orders = 0;
-  bool mute = false;   // asked for a sign it gives none, as if cut off
+  bool mute = false;   // answers no health check, as if cut off
   bool loads = false;  // orders to load come to no end
 
  private:
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -317,8 +317,8 @@
   CHECK(p.world.counters.value("hosts.links_opened") == 2);
 }
 
-// Failure found (inc142): 1.2 signs a request were asked for, each a probe, of hosts that loaded a copy.
-TEST_CASE("a link that waits for one long call asks for few signs; one that is cut off is ended") {
+// Failure found (inc142): 1.2 health checks a request were sent, each a probe, of hosts that loaded a copy.
+TEST_CASE("a link that waits for one long call is checked seldom; one that is cut off is ended") {
   Platform p(1);
   auto& host = *p.world.host[0];
   host.react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
@@ -327,14 +327,14 @@
   c.call("1", "bin-record", "x", 1500);
   REQUIRE(c.answer("1") != nullptr);
   CHECK(c.answer("1")->at(1) == "FAILED");
-  const auto signs = p.world.counters.value("hosts.signs_asked");
-  CHECK(signs >= 1);
-  CHECK(signs <= 2);
+  const auto checks = p.world.counters.value("hosts.health_checks");
+  CHECK(checks >= 1);
+  CHECK(checks <= 2);
   CHECK(p.world.counters.value("hosts.silent_links") == (host.mute ? 1 : 0));
 }
 
-// Failure found in review: each sign given during a load doubled the time to the next one for good.
-TEST_CASE("signs that were given during a load do not delay the first one asked for a later call") {
+// Failure found in review: each health check answered during a load doubled the time to the next for good.
+TEST_CASE("health checks answered during a load do not delay the first one for a later call") {
   hosts::Limits limits = World::limits();
   limits.order_timeout = Millis(1700);
   World world(1, settings(), limits);
@@ -344,7 +344,7 @@
   const Millis began = world.loop.now();
   REQUIRE(
       world.turn_until([&] { return world.loop.now() - began > limits.order_timeout + Millis(50); }, 20000));
-  CHECK(world.counters.value("hosts.signs_asked") >= 2);
+  CHECK(world.counters.value("hosts.health_checks") >= 2);
   world.host[0]->mute = true;
   core::Call call;
   call.ref = "000000000000000a";
@@ -356,8 +356,8 @@
   CHECK((world.loop.now() - sent).count() < 1500);
 }
 
-// Failure found in review: signs were asked for at sites whose settings forbid probes.
-TEST_CASE("no sign is asked for where probes are not allowed") {
+// Failure found in review: health checks were sent at sites whose settings forbid probes.
+TEST_CASE("no health check is sent where probes are not allowed") {
   hosts::Limits limits = World::limits();
   limits.probes = false;
   World world(1, settings(), limits);
@@ -370,7 +370,7 @@
   const Millis began = world.loop.now();
   REQUIRE(world.turn_until([&] { return world.loop.now() - began > Millis(700); }, 20000));
   CHECK(world.host[0]->execs == 1);
-  CHECK(world.counters.value("hosts.signs_asked") == 0);
+  CHECK(world.counters.value("hosts.health_checks") == 0);
 }
 
 TEST_CASE("an answer that brings more than belongs to it is taken; nothing new goes over its connection") {
@@ -418,7 +418,7 @@
   CHECK(p.world.host[0]->runs.count("y") == 0);
 }
 
-// Failure found on a variant of the settings: where a connection carries one call, a host got four calls at most.
+// Failure found on a variant of the settings: where a connection carries one call, a host got four at most.
 TEST_CASE("a host gets as many connections as its calls need, and a bound on them") {
   hosts::Limits limits = World::limits();
   limits.attempts_a_link = 1;
