Let only an order without an answer begin health checks anew

At fault: Link::take in src/hosts/fleet.cpp. With few invokers every load ends with an answered order, and the call that comes next most often loads as well. The link is told alive by the order's answer.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -159,7 +159,7 @@
   std::unordered_map<std::string, bool> past_;  // refs whose attempt here has ended: answered, or dropped
   std::deque<std::pair<Millis, std::string>> past_order_;
   Millis heard_{0}, sent_{0}, begun_{0}, checked_{0}, patience_{0};
-  int health_checks_ = 0;  // since the last answer, or the end of an order
+  int health_checks_ = 0;  // since the last answer to a call, or an order that got none
   bool retired_ = false, suspect_ = false, checking_ = false;
   net::Loop::TimerId timer_{}, stuck_{}, check_{};
 
@@ -328,7 +328,6 @@
       const Asked asked = answered->second;
       fleet_.loop_.cancel(asked.timer);
       asked_.erase(answered);
-      if (asked.kind != Asked::Kind::health_check) health_checks_ = 0;
       const Outcome outcome = reply.word == "well"  ? Outcome::ok
                               : reply.word == "ill" ? Outcome::error
                                                     : outcomes().at(reply.word);
