Count connections that never came up: the counter was always 0

At fault: Link::ended in src/hosts/fleet.cpp asked connecting() after Stream::end had closed the socket, which makes it false. Ruled out that nothing is refused: the test's stopped host refuses and was not counted. It fails without the change.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -355,7 +355,7 @@
     const auto outcome = [&](bool put, std::uint64_t end) {
       return put && outbox().written() >= end ? Outcome::reset : Outcome::connect_failed;
     };
-    if (connecting()) fleet_.counters_.add("hosts.links_refused");
+    if (heard_.count() == 0) fleet_.counters_.add("hosts.links_refused");  // it was never up
     for (const auto& [ref, sent] : attempts) fleet_.attempts_.erase(sent.attempt);
     for (const auto& [ref, sent] : attempts) {
       fleet_.dispatcher_->attempt_ended(sent.attempt, {outcome(sent.put, sent.end), 0, std::nullopt, {}});
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -402,6 +402,7 @@
     REQUIRE(c.answer(std::to_string(i)) != nullptr);
     CHECK(c.answer(std::to_string(i))->at(1) == "OK");
   }
+  CHECK(p.world.counters.value("hosts.links_refused") >= 1);
 }
 
 TEST_CASE("a host told draining gets nothing new, and its open calls end there") {
