--- a/src/core/types.h
+++ b/src/core/types.h
@@ -25,8 +25,8 @@
 struct Call {
   std::string ref;  // as the client named it; passed on unchanged
   std::string class_name, tenant;
-  std::string function_name;   // as the client wrote it
-  std::uint64_t function = 0;  // the same as a number, for the module
+  std::string function_name;    // as the client wrote it
+  std::uint64_t function = 0;   // the same as a number, for the module
   std::string idempotency_key;  // of a class that hosts tell repeats of; passed on unchanged, empty: none
   std::optional<double> effort;
   bool retry = false;
--- a/src/hosts/line_parser.h
+++ b/src/hosts/line_parser.h
@@ -9,7 +9,7 @@
 namespace lotusyard::hosts {
 
 struct Reply {
-  std::string id, word, fields;  // fields: empty for '-'
+  std::string id, word, fields;     // fields: empty for '-'
   std::optional<std::string> body;  // absent: no length was told
 };
 
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -1,9 +1,6 @@
-// The decisions of robinfold. The interface is include/robinfold/policy.h.
-// docs/design.md names each departure from ESFF.
+// The invoker's decisions, after ESFF (departures: docs/design.md). Interface: include/robinfold/policy.h
 #include "robinfold/policy.h"
 
-#include "average.h"
-
 #include <algorithm>
 #include <cmath>
 #include <deque>
@@ -12,6 +9,8 @@
 #include <random>
 #include <unordered_map>
 
+#include "average.h"
+
 namespace robinfold {
 namespace {
 
@@ -28,9 +27,9 @@
 constexpr Millis kForget{60000};      // records nobody asked for in this time are dropped
 constexpr Millis kForgetNew{5000};    // those of functions that no worker has served yet
 constexpr std::size_t kFunctionsMost = 4096;  // and so many are known at most: any name may be called
-constexpr double kRunGain = 0.1;      // EWMA gain of R: about the last ten answers
-constexpr double kLoadGain = 0.3;     // EWMA gain of L: loads are few
-constexpr double kOutlier = 4;        // one sample counts at most as this many times the average
+constexpr double kRunGain = 0.1;              // EWMA gain of R: about the last ten answers
+constexpr double kLoadGain = 0.3;             // EWMA gain of L: loads are few
+constexpr double kOutlier = 4;                // one sample counts at most as this many times the average
 constexpr double kLoadShows = 2.5;    // so many usual runs, at a copy not known to stand: there was a load
 constexpr double kStretchGain = 0.3;  // EWMA gain of a worker's stretch: a router hears from one seldom
 constexpr double kStretchMost = 20;   // a stretch counts at most as this
@@ -41,29 +40,29 @@
 constexpr double kEasy = 2;           // a stretch up to this is chance: service times vary
 constexpr double kFullStretch = 6;    // a worker that turns a call away counts as stretched this much
 constexpr double kBaseDrift = 1.002;  // the unloaded R may grow this much an answer: work changes in time
-constexpr double kLimitFirst = 6;  // own calls at one worker at first; adapts by AIMD
-constexpr double kLimitMost = 64;  // own calls at one worker at most: no known worker does more at once
-constexpr double kCrowded = 2;     // a stretch past this says that the worker's cores are oversubscribed
+constexpr double kLimitFirst = 6;     // own calls at one worker at first; adapts by AIMD
+constexpr double kLimitMost = 64;     // own calls at one worker at most: no known worker does more at once
+constexpr double kCrowded = 2;        // a stretch past this says that the worker's cores are oversubscribed
 constexpr Millis kBackOff{60};        // after a refusal of a worker: some service times
-constexpr double kShared = 20;          // with so many routers a function's agreed place is most likely warm
-constexpr int kLoadsOut = 4;           // a router's loads at once: more make a slow store slower
-constexpr double kPatience = 3;     // a load this many times the usual is no longer waited for
+constexpr double kShared = 20;        // with so many routers a function's agreed place is most likely warm
+constexpr int kLoadsOut = 4;          // a router's loads at once: more make a slow store slower
+constexpr double kPatience = 3;       // a load this many times the usual is no longer waited for
 constexpr double kSilentRuns = 6;   // a call out for this many usual runs is taken as lost, if that is longer
-constexpr double kAtOnce = 4;         // calls that a worker serves at once, about: more of them wait
-constexpr Millis kWatchPace{1000};    // pace of load news of a worker: reports are refreshed about as often
-constexpr double kWatched = 30;       // where answers bring reports: so many routers tell theirs in a pace
+constexpr double kAtOnce = 4;       // calls that a worker serves at once, about: more of them wait
+constexpr Millis kWatchPace{1000};  // pace of load news of a worker: reports are refreshed about as often
+constexpr double kWatched = 30;     // where answers bring reports: so many routers tell theirs in a pace
 constexpr std::size_t kTellBytes = 240;  // a peer message stays under the wire's limit
-constexpr int kSpill = 1;           // past so many times its agreed places a call does not spill
-constexpr double kPerWorker = 2;    // calls of one function at once that one worker should serve
-constexpr char kLostMark = '!';      // stands for a load in news of a worker that is lost
-constexpr char kCallsTag[] = "!!!";  // stands for a worker in a router's news of its own calls
-constexpr double kNewsGain = 0.002;  // EWMA gain of it: hundreds of routers tell, some far busier
+constexpr int kSpill = 1;                // past so many times its agreed places a call does not spill
+constexpr double kPerWorker = 2;         // calls of one function at once that one worker should serve
+constexpr char kLostMark = '!';          // stands for a load in news of a worker that is lost
+constexpr char kCallsTag[] = "!!!";      // stands for a worker in a router's news of its own calls
+constexpr double kNewsGain = 0.002;      // EWMA gain of it: hundreds of routers tell, some far busier
 constexpr double kShareLeast = 0.1;  // a nearly idle router knows too little of the mix to be scaled up more
-constexpr Millis kAlive{1000};      // a worker that answered in this time runs: two rounds of load news
-constexpr double kLateKept = 0.5;   // a late answer worth this part or more is waited for
-constexpr int kAlikeMost = 20;  // after so many others in a row first tries have a new time
-constexpr int kProbesLost = 3;      // so many failed probes on end, and no answer, count as a loss
-constexpr Millis kNever{-1e15};     // before any time of any clock
+constexpr Millis kAlive{1000};       // a worker that answered in this time runs: two rounds of load news
+constexpr double kLateKept = 0.5;    // a late answer worth this part or more is waited for
+constexpr int kAlikeMost = 20;       // after so many others in a row first tries have a new time
+constexpr int kProbesLost = 3;       // so many failed probes on end, and no answer, count as a loss
+constexpr Millis kNever{-1e15};      // before any time of any clock
 
 // ---- State ---------------------------------------------------------------------------------------------
 struct Copy {  // what is believed of one function at one worker
@@ -79,10 +78,10 @@
   std::deque<std::uint64_t> queue;
   std::vector<Copy> copies;
   Millis seen{kNever}, born{kNever};
-  std::vector<int> places;  // workers in the order in which this router uses them
-  Millis order_after{kNever};  // no further order before
+  std::vector<int> places;              // workers in the order in which this router uses them
+  Millis order_after{kNever};           // no further order before
   bool missed = false, blamed = false;  // the last call sent found no copy; it failed somewhere
-  int agreed = 0, list_version = -1;  // agreed: how many of them all routers share for this function
+  int agreed = 0, list_version = -1;    // agreed: how many of them all routers share for this function
 };
 struct Health {  // of one class at one worker, or of the worker as a whole
   double errors = 0;
@@ -95,8 +94,8 @@
       peers_told{kNever}, gone{kNever};
   std::uint64_t hash = 0;
   int inflight = 0, opening = 0, listed = 0;  // opening: of these, calls to copies not known to stand
-  bool waiting_told = true;  // nothing new to tell
-  Millis doubted{kNever};    // since when a broken connection leaves open whether it runs
+  bool waiting_told = true;                   // nothing new to tell
+  Millis doubted{kNever};                     // since when a broken connection leaves open whether it runs
   bool doubted_reset = false;
   int probes_lost = 0;  // since that
   double limit = kLimitFirst, waiting = 0, stretch = 1, cold_tokens = 0;
@@ -163,16 +162,16 @@
   std::mt19937_64 random_;
   std::vector<Worker> workers_;
   std::unordered_map<std::string, int> worker_index_, tags_;
-  std::vector<int> free_places_;  // in workers_, of those long gone
+  std::vector<int> free_places_;                      // in workers_, of those long gone
   std::vector<std::unique_ptr<Function>> functions_;  // in order of first sight, never of id
   std::unordered_map<std::uint64_t, Function*> function_index_;
   std::map<std::uint64_t, Request> requests_;
   std::unordered_map<std::string, std::uint64_t> request_index_;
-  double longest_wait_ = 1e9;  // the shortest aim of all classes
+  double longest_wait_ = 1e9;         // the shortest aim of all classes
   std::vector<ClassRecord> classes_;  // by slot
   Average any_run_, any_load_, peer_calls_;
   std::uint64_t next_serial_ = 1;
-  std::deque<Millis> taken_, ordered_;  // for the load ration
+  std::deque<Millis> taken_, ordered_;                     // for the load ration
   double served_ = 0, fleet_stretch_ = 1, own_calls_ = 0;  // own_calls_: of late, decaying
   int loads_out_ = 0, list_version_ = 0;
   Millis watch_at_{kNever}, stretch_at_{kNever}, served_at_{kNever}, watched_{kNever}, own_calls_at_{kNever};
@@ -715,9 +714,10 @@
     const char* reason = "no_copy";
     for (const auto& c : f.copies) {
       const Worker& w = worker(c);
-      if (!warm(c) || !usable(w) || !serves(w, r.cls)) reason = warm(c) ? "unhealthy" : reason;
-      else if (!has_room(w)) reason = w.inflight >= w.limit ? "own_limit" : "worker_full";
-      else return c.busy >= c.standing * f.lanes ? "lanes_busy" : "too_stretched";
+      const bool healthy = usable(w) && serves(w, r.cls);
+      if (warm(c) && healthy && has_room(w))
+        return c.busy >= c.standing * f.lanes ? "lanes_busy" : "too_stretched";
+      if (warm(c)) reason = !healthy ? "unhealthy" : w.inflight >= w.limit ? "own_limit" : "worker_full";
     }
     return reason;
   }
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -1,12 +1,12 @@
 #include "wire.h"
 
-#include "config/json_read.h"
-#include "config/settings.h"
-
 #include <cmath>
 #include <type_traits>
 #include <utility>
 
+#include "config/json_read.h"
+#include "config/settings.h"
+
 namespace robinfold::simhost {
 namespace {
 
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -53,8 +53,8 @@
   EXPECT_EQ(chosen.size(), 1U);
 }
 
-// Failure found in review: loads at a worker that a whole list left out counted as under way, so that calls waited
-// on for them past their aims.
+// Failure found in review: loads at a worker that a whole list left out counted as under way, so that calls
+// waited on for them past their aims.
 TEST(Lists, NothingWaitsForALoadAtAWorkerThatIsGone) {
   for (const bool whole : {false, true}) {
     Router r;
@@ -90,7 +90,8 @@
   EXPECT_LE(calls, 2.5 * 0.43 * 10000 / 250);
 }
 
-// Failure found (L05b3a2): routers that had not met a restart themselves sent the cold worker their full load.
+// Failure found (L05b3a2): routers that had not met a restart themselves sent the cold worker their full
+// load.
 TEST(Rule4, ALossToldByAPeerIsColdFromTheReturn) {
   const auto sent_after_return = [](bool told) {
     Settings s = settings();
@@ -197,8 +198,8 @@
   EXPECT_EQ(r.refused, std::vector<std::string>{"later"});
 }
 
-// Failure found (day 3): first tries are given half of the deadline, a later one all that is left of it; once one was
-// seen, every first try was taken for a later one and refused wherever something waited.
+// Failure found (day 3): first tries are given half of the deadline, a later one all that is left of it; once
+// one was seen, every first try was taken for a later one and refused wherever something waited.
 TEST(GivingUp, AFirstTryIsTheOneGivenWhatMostAreGiven) {
   Router r;
   r.list({});
@@ -212,7 +213,8 @@
   EXPECT_EQ(r.refused.size(), 7U);
 }
 
-// Failure found (h6ac7e3): calls that met full workers spilled on and on; their loads pushed copies out for good.
+// Failure found (h6ac7e3): calls that met full workers spilled on and on; their loads pushed copies out for
+// good.
 TEST(Places, CallsDoNotSpillOverTheWholeFleet) {
   Router r(crowd_settings());
   r.list(fleet());
@@ -231,7 +233,8 @@
   EXPECT_LE(used.size(), 10U);
 }
 
-// Failure found (h6ac7e3): a busy router took itself for the mean one and spread its functions over all workers.
+// Failure found (h6ac7e3): a busy router took itself for the mean one and spread its functions over all
+// workers.
 TEST(Places, ABusyRouterCountsItsShare) {
   const auto used = [](double peer_calls) {
     Settings s = crowd_settings();
@@ -277,8 +280,8 @@
   EXPECT_NE(r.sends.back().worker, bad);
 }
 
-// Failure found (inc142): where answers don't tell of loads, those that waited for one counted as runs of 1.5 s:
-// workers looked stretched and warm ones were sent nothing.
+// Failure found (inc142): where answers don't tell of loads, those that waited for one counted as runs of 1.5
+// s: workers looked stretched and warm ones were sent nothing.
 TEST(Ordinary, AnswersThatWaitedForALoadDoNotStretchAWorker) {
   Settings s = settings();
   s.routers = 100;
@@ -301,8 +304,8 @@
   EXPECT_EQ(r.sends.size(), before + 1);
 }
 
-// Failure found (inc3048): a quiet router's one call at a worker waited for a load; the worker was taken for silent,
-// left out, and the call sent elsewhere to load there too.
+// Failure found (inc3048): a quiet router's one call at a worker waited for a load; the worker was taken for
+// silent, left out, and the call sent elsewhere to load there too.
 TEST(Health, AWorkerThatLoadsForItsOnlyCallIsNotSilent) {
   Settings s = crowd_settings();
   s.cancel = true;
@@ -323,8 +326,8 @@
   EXPECT_EQ(r.cancels.size(), 1U);
 }
 
-// Failure found (day 6): a quiet router calls a host once in seconds, for functions that it has not seen served. It
-// took two errors of known functions to leave a failing host out, so it hardly ever did.
+// Failure found (day 6): a quiet router calls a host once in seconds, for functions that it has not seen
+// served. It took two errors of known functions to leave a failing host out, so it hardly ever did.
 TEST(Health, OneFastErrorKeepsAQuietRoutersClassAway) {
   Router r(crowd_settings());
   r.list(fleet());
@@ -372,7 +375,8 @@
   EXPECT_EQ(used.size(), 2U);
 }
 
-// Failure found (day 5): a host that came back was sent half of its usual calls though it has room for more than all.
+// Failure found (day 5): a host that came back was sent half of its usual calls though it has room for more
+// than all.
 TEST(Rule4, AColdWorkerGetsMostOfItsUsualCallsAndNoneToTipIt) {
   Settings s = settings();
   s.routers = 100;
@@ -485,7 +489,8 @@
   s.peers = true;
   s.routers = 3;
   Router r = warm_router(s);
-  for (const char* text : {"", "q", "qabc", "q000z000z", "nonsense", "q\xff\xfe\xfd\xfc"}) r.give(event::Peer{1, text});
+  for (const char* text : {"", "q", "qabc", "q000z000z", "nonsense", "q\xff\xfe\xfd\xfc"})
+    r.give(event::Peer{1, text});
   r.request("x");
   r.pass(5000);
   EXPECT_FALSE(r.broken);
@@ -503,8 +508,8 @@
   EXPECT_EQ(r.sends.size(), 2U);
 }
 
-// E = N + 1 - L K / R with K = 2 lanes, R = 100 ms and L = min(500, aim - R) = 500 ms (as its order took): L K / R
-// is 10, so ten may wait and the eleventh starts a load.
+// E = N + 1 - L K / R with K = 2 lanes, R = 100 ms and L = min(500, aim - R) = 500 ms (as its order took): L
+// K / R is 10, so ten may wait and the eleventh starts a load.
 TEST(Ordinary, TheCreationTestCountsLanes) {
   Router r = warm_router();
   r.request("l1");
@@ -769,8 +774,8 @@
   EXPECT_LE(r.loads.size(), 12U);
 }
 
-// Classes, kinds and clients are names: another spelling changes no decision. Ids of workers and functions are
-// hashed and decide the place alone.
+// Classes, kinds and clients are names: another spelling changes no decision. Ids of workers and functions
+// are hashed and decide the place alone.
 std::vector<std::string> played(const std::string& tag) {
   Settings s = settings();
   for (auto& c : s.classes) c.name = tag + c.name;
