Write the log without waiting for its reader; count the lines dropped

Cause: main.cpp wrote lines to std::cout and std::cerr, which block once a pipe that nobody reads is full: the loop and all calls stood still. Ruled out that a signal frees it for good: the test sends none while it waits for the call.

The test (a pipe of one page, a call while it is full) fails without the change: the call gets no answer.

--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -4,10 +4,10 @@
 #include <cstdint>
 #include <iomanip>
 #include <map>
-#include <ostream>
 #include <sstream>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace lotusyard::core {
 
@@ -18,9 +18,11 @@
     const auto found = values_.find(name);
     return found == values_.end() ? 0 : found->second;
   }
-  void print(std::ostream& out) const {
-    for (const auto& [name, value] : values_) out << name << ' ' << value << '\n';
-    out.flush();
+  /// All counters, one a line.
+  std::vector<std::string> lines() const {
+    std::vector<std::string> out;
+    for (const auto& [name, value] : values_) out.push_back(name + ' ' + std::to_string(value));
+    return out;
   }
   // One line: what was counted since the last such line, then the module's tally (figures "now." as they
   // are). Nothing if nothing was counted.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include "amqp/front.h"
 #include "config/config.h"
 #include "core/dispatcher.h"
+#include "core/log_writer.h"
 #include "core/shutdown.h"
 #include "feed/feed.h"
 #include "hosts/fleet.h"
@@ -89,6 +90,7 @@
     throw config::ConfigError("configuration: BALANCER_CONFIG: not set, and no file was named");
   const auto config = read_file(file);
   core::Counters counters;
+  core::LogWriter log_out(STDOUT_FILENO, counters), log_errors(STDERR_FILENO, counters);
   // A quarter of the memory may wait unwritten, a quarter be held as bodies of open calls.
   const std::size_t quarter = (config.memory_mb << 20) / 4;
   net::BufferPool pool(quarter / net::BufferPool::block_size);
@@ -127,8 +129,8 @@
     log.skip_to(config.known_seq);
   } else {
     counters.add("feed.known_unread");
-    std::cerr << "lotusyard: known: an event cannot be read; asking the change log from " << log.last()
-              << std::endl;
+    log_errors.write_line("lotusyard: known: an event cannot be read; asking the change log from " +
+                          std::to_string(log.last()));
   }
   const auto told_later = [&](const core::MemberList& list) {
     told(list, list.complete ? core::ListKind::full : core::ListKind::delta);
@@ -157,7 +159,7 @@
       counters.add("config.reread");
     } catch (const std::exception& fault) {
       counters.add("config.faulty");  // the old one goes on
-      std::cerr << "lotusyard: " << fault.what() << std::endl;
+      log_errors.write_line(std::string("lotusyard: ") + fault.what());
     }
   };
 
@@ -175,7 +177,7 @@
     if (!front.listen(config.listen)) {
       throw config::ConfigError("configuration: listen: cannot listen on " + config.listen);
     }
-    std::cout << "lotusyard " << config.name << " listens on " << front.address() << std::endl;
+    log_out.write_line("lotusyard " + config.name + " listens on " + front.address());
   }
   std::optional<amqp::Front> triggers;
   if (config.amqp) {
@@ -183,12 +185,15 @@
                      amqp::Front::Limits{config.amqp->open_calls, config.amqp->remembered,
                                          config.amqp->remembered_mb << 20});
     triggers->start();
-    std::cout << "lotusyard " << config.name << " takes triggers from " << config.amqp->broker << std::endl;
+    log_out.write_line("lotusyard " + config.name + " takes triggers from " + config.amqp->broker);
   }
 
   const auto log_status = [&] {
     const std::string line = counters.status(dispatcher.tally());
-    if (!line.empty()) std::cout << line << std::endl;
+    if (!line.empty()) log_out.write_line(line);
+  };
+  const auto log_counters = [&] {
+    for (const auto& line : counters.lines()) log_out.write_line(line);
   };
   Millis status_at = loop.now() + kStatusPace;
   while (true) {
@@ -199,9 +204,11 @@
     }
     if (shutdown.begun()) due = std::min(due, loop.now() + Millis(20));
     loop.turn(due, [&] { dispatcher.tick(); });
+    log_out.flush();
+    log_errors.flush();
     if (g_print != 0) {
       g_print = 0;
-      counters.print(std::cout);
+      log_counters();
     }
     if (g_reread != 0) {
       g_reread = 0;
@@ -210,8 +217,8 @@
     const Millis now = loop.now();
     if (g_terminate != 0 && !shutdown.begun()) {
       shutdown.begin(now);
-      std::cout << "lotusyard " << config.name << " ends: " << dispatcher.open() << " calls open"
-                << std::endl;
+      log_out.write_line("lotusyard " + config.name + " ends: " + std::to_string(dispatcher.open()) +
+                         " calls open");
       front.drain();
       if (triggers) triggers->drain();
     }
@@ -225,7 +232,7 @@
   if (triggers) triggers->close();
   loop.turn(loop.now(), [&] { dispatcher.end_all(); });  // what is read in this last turn is answered too
   log_status();
-  counters.print(std::cout);
+  log_counters();
   return 0;
 }
 
--- a/tests/lotusyard/process_test.cpp
+++ b/tests/lotusyard/process_test.cpp
@@ -3,6 +3,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <spawn.h>
+#include <sys/ioctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -62,6 +63,13 @@
     if (pid_ > 0) waitpid(pid_, nullptr, 0);
   }
   void tell(int signal) const { REQUIRE(kill(pid_, signal) == 0); }
+  // Leaves its output no more room than the system allows; it is read by `log` alone.
+  void shrink_output() const { REQUIRE(fcntl(output_.fd(), F_SETPIPE_SZ, 1) > 0); }
+  int unread_output() const {
+    int bytes = 0;
+    REQUIRE(ioctl(output_.fd(), FIONREAD, &bytes) == 0);
+    return bytes;
+  }
   const std::string& log() {
     char bytes[4096];
     for (ssize_t got; (got = read(output_.fd(), bytes, sizeof bytes)) > 0;)
@@ -163,6 +171,41 @@
   CHECK(log.asked.front() == 1);
 }
 
+// Failure found in review: a log that nobody read stopped the event loop, and with it all calls.
+TEST_CASE("a log that nobody reads stops no call; the lines dropped are counted") {
+  Site site(1000);
+  const std::string address = site.start();
+  Client first(site, address);
+  first.call("1", 900);
+  REQUIRE(site.turn_until([&] { return !first.got.empty(); }));
+  site.program->shrink_output();
+  const auto pass = [&](double span) {
+    const Millis until = site.loop.now() + Millis(span);
+    while (site.loop.now() < until) site.loop.turn(until, [] {});
+  };
+  // All counters are logged again and again, until what waits to be read grows no more.
+  for (int unread = -1; site.program->unread_output() > unread;) {
+    unread = site.program->unread_output();
+    site.program->tell(SIGUSR1);
+    pass(50);
+  }
+  REQUIRE(site.program->unread_output() > 0);
+  Client client(site, address);
+  client.call("2", 900);
+  REQUIRE(site.turn_until([&] { return !client.got.empty() || client.closed; }));
+  REQUIRE(client.got.size() == 1);
+  CHECK(client.got[0].at(1) == "OK");
+  // Far more than the pipe and the program keep. Once somebody reads, it goes on and tells what was lost.
+  for (int i = 0; i < 1500; ++i) {
+    site.program->tell(SIGUSR1);
+    pass(1);
+  }
+  REQUIRE(site.turn_until([&] {
+    site.program->tell(SIGUSR1);
+    return site.program->log().find("log.lines_dropped ") != std::string::npos;
+  }));
+}
+
 // Failure found (roll+mass): two in three invokers were killed with calls open, as each waited for its
 // longest deadline, while SIGKILL may come 3.7 s after SIGTERM.
 TEST_CASE(
