Let the connection that reads nothing pay for the buffers it takes, not whoever writes next

Cause: Stream::write ended the stream that found the shared pool empty, whoever had used it up. A dozen clients with 1 MiB of unread answers each took all of it, and the next host or client to be written to was ended instead.

The test holds 38 of 40 blocks with a client that never reads; without the change the client that asks next is cut off. Loop::bury is called defer_destruction.

--- a/src/amqp/front.cpp
+++ b/src/amqp/front.cpp
@@ -76,7 +76,7 @@
   unconfirmed_.clear();
   unsent_.clear();
   memory_.forget_waiters();
-  if (channel_) loop_.bury(std::move(channel_));
+  if (channel_) loop_.defer_destruction(std::move(channel_));
   channel_.reset();
   loop_.cancel(reconnect_);
   if (draining_) return;
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -161,7 +161,7 @@
   connection_.reset();
   if (old) {
     old->end_later();
-    loop_.bury(old);
+    loop_.defer_destruction(old);
   }
   loop_.cancel(timer_);
   pause_ = Millis(0);
@@ -169,7 +169,7 @@
 }
 
 void Feed::again() {
-  if (connection_) loop_.bury(std::move(connection_));
+  if (connection_) loop_.defer_destruction(std::move(connection_));
   connection_.reset();
   loop_.cancel(timer_);
   timer_ = loop_.at(loop_.now() + std::max(pause_, kPauseFirst), [this] { connect(); });
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -343,6 +343,7 @@
     }
     return true;
   }
+  void backlog_discarded() override { fleet_.counters_.add("hosts.unread_closed"); }
   void ended() override {
     fleet_.loop_.cancel(timer_);
     fleet_.loop_.cancel(stuck_);
@@ -521,7 +522,7 @@
   auto& links = hosts_.at(link.host()).links;
   const auto found =
       std::find_if(links.begin(), links.end(), [&](const auto& l) { return l.get() == &link; });
-  loop_.bury(*found);
+  loop_.defer_destruction(*found);
   links.erase(found);
 }
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -86,7 +86,7 @@
   }
   decide();
   flush();
-  graves_.clear();
+  deferred_.clear();
 }
 
 }  // namespace lotusyard::net
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -46,8 +46,8 @@
   TimerId at(Millis when, std::function<void()> ring);
   void cancel(const TimerId& id) { timers_.erase(id); }
 
-  // Keeps an ended object until no call on the stack can still be inside it.
-  void bury(std::shared_ptr<void> ended) { graves_.push_back(std::move(ended)); }
+  /// Keeps an ended object to the end of the turn, when no call on the stack can still be inside it.
+  void defer_destruction(std::shared_ptr<void> ended) { deferred_.push_back(std::move(ended)); }
 
   // One turn; waits for at most as long as `due` and the timers allow. `decide` runs between reads and
   // writes.
@@ -64,7 +64,7 @@
   std::vector<std::uint64_t> serials_;
   std::vector<Handler*> unflushed_;
   std::map<TimerId, std::function<void()>> timers_;
-  std::vector<std::shared_ptr<void>> graves_;
+  std::vector<std::shared_ptr<void>> deferred_;
   std::uint64_t serial_ = 0;
   double offset_ms_ = 0;
   Millis turn_began_{0};
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -12,7 +12,10 @@
 }  // namespace
 
 Stream::Stream(Loop& loop, BufferPool& pool, Socket socket, bool connecting)
-    : loop_(loop), socket_(std::move(socket)), outbox_(pool), connecting_(connecting) {
+    : loop_(loop),
+      socket_(std::move(socket)),
+      outbox_(pool, [this] { discarded(); }),
+      connecting_(connecting) {
   if (socket_) watch();
 }
 
@@ -43,6 +46,7 @@
 
 void Stream::flush() {
   if (!ending_) flush_now();
+  if (ends_when_written_ && outbox_.empty()) ending_ = true;
   if (ending_) end();
 }
 
@@ -52,6 +56,17 @@
   loop_.flush_later(*this);
 }
 
+void Stream::end_when_written() {
+  if (!socket_) return;
+  ends_when_written_ = true;
+  loop_.flush_later(*this);
+}
+
+void Stream::discarded() {
+  backlog_discarded();
+  end_later();
+}
+
 void Stream::end() {
   if (!socket_) return;
   loop_.forget(socket_.fd(), *this);
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -1,5 +1,4 @@
-// A connection: owns its socket, its unwritten bytes and its place in the loop, and gives all three back at
-// once.
+// A TCP connection on the loop.
 #pragma once
 
 #include <string_view>
@@ -9,6 +8,9 @@
 
 namespace lotusyard::net {
 
+/// Owns a socket, its unwritten bytes and its place in the loop, and gives all three back at once when it
+/// ends. Derived classes are told of what comes; they are kept alive to the end of the turn in which they
+/// end.
 class Stream : public Handler {
  public:
   Stream(Loop& loop, BufferPool& pool, Socket socket, bool connecting);
@@ -19,6 +21,7 @@
   void write(std::string_view bytes);  // goes out at the end of the turn
   bool flush_now();                    // false if some bytes must wait or the stream ends
   void end_later();                    // ends it from the loop, for callers that `ended` must not interrupt
+  void end_when_written();             // the same, once all bytes are handed to the kernel
   bool open() const { return static_cast<bool>(socket_) && !connecting_; }
   bool connecting() const { return static_cast<bool>(socket_) && connecting_; }
   bool ending() const { return ending_ || !socket_; }  // nothing written now would go out
@@ -31,16 +34,19 @@
   virtual void connected() {}
   virtual void received(std::string_view bytes) = 0;
   virtual void ended() = 0;  // once; the socket is closed, nothing more comes
+  /// The peer read so little that its unwritten bytes were given up for other connections; the stream ends.
+  virtual void backlog_discarded() {}
   void end();
-  Loop& loop() { return loop_; }
+  Loop& loop() const { return loop_; }
 
  private:
   Loop& loop_;
   Socket socket_;
   Outbox outbox_;
-  bool connecting_ = false, ending_ = false;
+  bool connecting_ = false, ending_ = false, ends_when_written_ = false;
 
   void watch();
+  void discarded();
   void read();
 };
 
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -77,6 +77,7 @@
     front_.counters_.add("resp.taken_back", static_cast<std::uint64_t>(commands.rend() - kept));
     commands.erase(commands.begin(), kept.base());
   }
+  void backlog_discarded() override { front_.counters_.add("resp.unread_closed"); }
   void ended() override {
     loop().cancel(whole_by_);
     front_.gone(*this);
@@ -322,7 +323,7 @@
   std::sort(left.begin(), left.end());
   for (const auto id : left) unfile(id);
   for (const auto id : left) dispatcher_.leave(id);
-  loop_.bury(kept);
+  loop_.defer_destruction(kept);
   if (paused_ && listener_) {
     paused_ = false;
     loop_.watch(listener_.fd(), *this, POLLIN);
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -94,7 +94,7 @@
   void gone(Peer& peer) {
     for (auto i = peers.begin(); i != peers.end(); ++i) {
       if (i->get() != &peer) continue;
-      loop_.bury(*i);
+      loop_.defer_destruction(*i);
       peers.erase(i);
       return;
     }
@@ -221,8 +221,9 @@
 // The parts of an invoker behind its fronts, and hosts for it.
 class World {
  public:
-  explicit World(std::size_t hosts, const core::Settings& s = settings(), const hosts::Limits& l = limits())
-      : pool(4096),
+  explicit World(std::size_t hosts, const core::Settings& s = settings(), const hosts::Limits& l = limits(),
+                 std::size_t write_buffers = 4096)
+      : pool(write_buffers),
         fleet(loop, pool, counters, l),
         dispatcher(
             s, [this] { return loop.now(); }, fleet, counters) {
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -48,8 +48,9 @@
 struct Platform {
   World world;
   resp::Front front;
-  explicit Platform(std::size_t hosts, resp::Front::Limits limits = {})
-      : world(hosts), front(world.loop, world.pool, world.dispatcher, world.counters, limits) {
+  explicit Platform(std::size_t hosts, resp::Front::Limits limits = {}, std::size_t write_buffers = 4096)
+      : world(hosts, settings(), World::limits(), write_buffers),
+        front(world.loop, world.pool, world.dispatcher, world.counters, limits) {
     REQUIRE(front.listen("127.0.0.1:0"));
   }
 };
@@ -233,6 +234,41 @@
   CHECK(p.world.counters.value("resp.half_request") == 1);
 }
 
+// Failure found in review: a client that read nothing used up the buffers of all connections, and the one
+// that next had to write was ended instead of it.
+TEST_CASE("a client that reads nothing pays for the buffers that its answers take, not whoever writes next") {
+  constexpr std::size_t kBuffers = 40;
+  Platform p(1, {}, kBuffers);
+  Client usual(p.world, p.front.address());
+  usual.say({"CHECK", "1", ""});
+  REQUIRE(usual.answer("1") != nullptr);
+  const net::Socket deaf = net::connect_to(p.front.address());
+  const std::string body(16000, 'x');
+  std::string unsent;
+  std::uint64_t calls = 0;
+  // Asks for a few answers at a time and never reads one, until they have used up the buffers.
+  const auto used_up = [&] {
+    if (unsent.empty() && p.world.dispatcher.open() == 0) {
+      for (int i = 0; i < 4; ++i) {
+        const std::string fields =
+            "ref=" + net::hex16(++calls) + ",allow=1400,lookup=00000000000000a1,spec=memory_mb:300;lanes:64";
+        resp::write_array(unsent, {"CALL", std::to_string(calls), "bin-check", fields, body});
+      }
+    }
+    const ssize_t sent = send(deaf.fd(), unsent.data(), unsent.size(), MSG_NOSIGNAL);
+    if (sent > 0) unsent.erase(0, static_cast<std::size_t>(sent));
+    return p.world.pool.out() + 2 >= kBuffers;
+  };
+  REQUIRE(p.world.turn_until(used_up, 20000));
+  for (int i = 2; i <= 6; ++i) {
+    usual.call(std::to_string(i), "bin-record", body);
+    REQUIRE(usual.answer(std::to_string(i)) != nullptr);
+    CHECK(usual.answer(std::to_string(i))->at(1) == "OK");
+  }
+  CHECK_FALSE(usual.closed);
+  CHECK(p.world.counters.value("resp.unread_closed") == 1);
+}
+
 TEST_CASE("connections by dozens that say nothing cost those that ask no place") {
   resp::Front::Limits limits;
   limits.clients = limits.newcomers = 4;
