Answer the calls open on a connection before closing it over half a request

Cause: Front::Client ended the connection 2 s after a request's first byte, with the calls that were open on it. On a slow connection a request may well take so long while others wait for their answers.

Now the connection goes on until its last open call is answered; the rest may come till then, else the connection ends once the answers are written. Without open calls it ends after 2 s as before (resp.half_request). The test fails without the change.

--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -13,7 +13,6 @@
 
 constexpr std::uint64_t kLongestAllow = 3600 * 1000;
 constexpr std::size_t kAcceptsATurn = 64;
-constexpr core::Millis kWholeMost{2000};       // from connecting, or a request's first byte, to its last
 constexpr std::size_t kFaultsMost = 64;        // calls of one connection that were turned away unread
 constexpr std::size_t kUnreadMost = 1U << 20;  // answers that a client has not read
 
@@ -25,7 +24,7 @@
       : Stream(front.loop_, front.pool_, std::move(socket), false), front_(front) {
     expect_whole();
   }
-  ~Client() override { loop().cancel(whole_by_); }
+  ~Client() override { loop().cancel(request_timer_); }
   std::unordered_map<std::string, core::CallId> open_calls;
   Clients::iterator place;
   bool asked = false;  // stands among the clients, else among the newcomers
@@ -33,26 +32,41 @@
 
   bool idle() const { return open_calls.empty() && outbox().empty(); }
   bool reading() const { return parser_.begun(); }
+  // The last open call was answered: closes a connection whose request has been overdue since before.
+  void all_answered() {
+    if (!overdue_) return;
+    end_when_written();
+    // A client that does not read its answers does not keep the descriptor either.
+    request_timer_ = loop().at(loop().now() + front_.limits_.request_timeout, [this] { end_later(); });
+  }
 
  private:
   Front& front_;
   Parser parser_;
-  net::Loop::TimerId whole_by_{};
-  bool begun_ = true;  // a newcomer owes its first request from the start
+  net::Loop::TimerId request_timer_{};
+  bool begun_ = true;     // a newcomer owes its first request from the start
+  bool overdue_ = false;  // the rest of a request did not come in time
 
-  // Danger: half a request, or none, would hold a descriptor for good.
+  // Half a request, or none, would hold a descriptor for good.
   void expect_whole() {
-    whole_by_ = loop().at(loop().now() + kWholeMost, [this] {
-      front_.counters_.add(asked ? "resp.half_request" : "resp.no_request");
-      end_later();
-    });
+    request_timer_ = loop().at(loop().now() + front_.limits_.request_timeout, [this] { request_overdue(); });
+  }
+  // What is open still gets its answer, and until then the rest may still come.
+  void request_overdue() {
+    front_.counters_.add(asked ? "resp.half_request" : "resp.no_request");
+    if (open_calls.empty()) return end_later();
+    overdue_ = true;
   }
+  void backlog_discarded() override { front_.counters_.add("resp.unread_closed"); }
   void received(std::string_view bytes) override {
     std::vector<Words> commands;
     const bool sound = parser_.take(bytes, commands);
     if (!commands.empty() && !front_.promote(*this)) return front_.turn_away(*this, commands);
     // A timer a begun request: the next one's time starts with its own first byte.
-    if (begun_ && (!commands.empty() || !parser_.begun())) loop().cancel(whole_by_);
+    if (begun_ && (!commands.empty() || !parser_.begun())) {
+      loop().cancel(request_timer_);
+      overdue_ = false;
+    }
     if (parser_.begun() && (!begun_ || !commands.empty())) expect_whole();
     begun_ = parser_.begun() || !asked;
     leave_out_taken_back(commands);
@@ -77,9 +91,8 @@
     front_.counters_.add("resp.taken_back", static_cast<std::uint64_t>(commands.rend() - kept));
     commands.erase(commands.begin(), kept.base());
   }
-  void backlog_discarded() override { front_.counters_.add("resp.unread_closed"); }
   void ended() override {
-    loop().cancel(whole_by_);
+    loop().cancel(request_timer_);
     front_.gone(*this);
   }
 };
@@ -305,6 +318,7 @@
   const Filed filed = found->second;
   unfile(call);
   say(*filed.client, filed.tag, answer.verdict, answer.cooldown, answer.body);
+  if (filed.client->open_calls.empty()) filed.client->all_answered();
 }
 
 void Front::unfile(core::CallId call) {
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -21,6 +21,8 @@
     std::size_t clients = 256, newcomers = 64;  // connections that have asked something, and not yet
     std::size_t calls_a_client = 32;
     std::size_t body_bytes = 48U << 20;  // of all open calls
+    // From connecting, or a request's first byte, to its last.
+    core::Millis request_timeout{2000};
   };
   Front(net::Loop& loop, net::BufferPool& pool, core::Dispatcher& dispatcher, core::Counters& counters,
         Limits limits);
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -234,6 +234,30 @@
   CHECK(p.world.counters.value("resp.half_request") == 1);
 }
 
+// Failure found in review: half a request that stood for 2 s ended the calls open on its connection.
+TEST_CASE("half a request does not end the calls that are open on its connection") {
+  resp::Front::Limits limits;
+  limits.request_timeout = Millis(100);
+  Platform p(1, limits);
+  p.world.host[0]->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-check", "x", 600);
+  REQUIRE(p.world.turn_until([&] { return p.world.host[0]->execs == 1; }, 20000));
+  c.write("*3\r\n$5\r\nCHECK\r\n$1\r\n2\r\n$0\r\n");
+  REQUIRE(p.world.turn_until([&] { return p.world.counters.value("resp.half_request") == 1; }, 20000));
+  const bool rest_comes = GENERATE(true, false);
+  if (rest_comes) {
+    c.write("\r\n");
+    REQUIRE(c.answer("2") != nullptr);
+    CHECK(*c.answer("2") == resp::Words{"2", "UP"});
+  }
+  REQUIRE(c.answer("1") != nullptr);
+  CHECK(c.answer("1")->at(1) == "FAILED");
+  if (!rest_comes) CHECK(p.world.turn_until([&] { return c.closed; }, 20000));
+  c.say({"CHECK", "3", ""});
+  if (rest_comes) CHECK(c.answer("3") != nullptr);
+}
+
 // Failure found in review: a client that read nothing used up the buffers of all connections, and the one
 // that next had to write was ended instead of it.
 TEST_CASE("a client that reads nothing pays for the buffers that its answers take, not whoever writes next") {
