Split connections to hosts into pool, connection, health check and history of refs

Now Fleet keeps the pool and the drain rule, Link one connection, Liveness the times of its health checks (no clock, no socket: its test drives it alone), and RefHistory the refs whose answers may still come. Behaviour is unchanged.

--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -1,7 +1,8 @@
-// The hosts and the connections to them: attempts, probes and orders go out here and their ends come back.
+// The hosts and the pool of connections to them: attempts, probes and orders go out here and their ends come
+// back.
 #pragma once
 
-#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -10,38 +11,32 @@
 #include "core/counters.h"
 #include "core/dispatcher.h"
 #include "core/member.h"
+#include "hosts/limits.h"
+#include "hosts/link.h"
 #include "net/loop.h"
-#include "net/stream.h"
 
 namespace lotusyard::hosts {
 
-using core::Millis;
-
-struct Limits {
-  Millis connect_timeout{250}, idle{15000}, order_timeout{10000}, drain_grace{250};
-  bool probes = true;  // health checks of a link are probes too: none without these
-  std::size_t attempts_a_link = 32, links_a_host = 4, links = 256;
-  std::size_t calls_a_host = 64;  // a host gets as many connections as these need, and no fewer than above
-  std::vector<std::string> report_fields;  // in the order in which the module wants them
-};
-
-class Fleet final : public core::Hosts {
+/// Owns all connections to hosts, opened as they are needed and bounded for each host and in all. Guards the
+/// drain rule: nothing new goes to a host that the last list does not call ready. Used on the loop's thread
+/// only; must outlive the last turn of the loop that may call a link.
+class Fleet final : public core::Hosts, private LinkObserver {
  public:
   Fleet(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, Limits limits);
   ~Fleet() override;
   void attach(core::Dispatcher& dispatcher) { dispatcher_ = &dispatcher; }
 
+  /// Takes a whole list or a change of it. Cost: rows x hosts (each new address is looked for at all others).
   void members(const core::MemberList& list);
 
   void exec(const core::Attempt& attempt, const std::string& host, const core::Call& call,
-            Millis patience) override;
+            Millis timeout) override;
   bool drop(const core::Attempt& attempt) override;
   void probe(const std::string& host) override;
-  void ensure(const std::string& host, std::uint64_t function, int copies) override;
+  void ensure(const std::string& host, std::uint64_t function, int instances) override;
   void release(const std::string& host, std::uint64_t function) override;
 
  private:
-  class Link;
   struct Host {
     core::Member member;
     std::vector<std::shared_ptr<Link>> links;
@@ -56,12 +51,17 @@
   std::size_t links_ = 0;
   std::uint64_t last_tag_ = 0;
 
+  void on_attempt_ended(const core::Attempt& attempt, core::AttemptEnd&& end) override;
+  void on_load_ended(core::LoadOutcome&& end) override;
+  void on_probe_ended(core::ProbeOutcome&& end) override;
+  void on_link_closed(Link& link) override;
+
+  void take_member(const core::Member& member);
   Host* ready_host(const std::string& id);
   Link* link_for(Host& host, const std::string& ref);
-  bool end_idle_link();
-  void later(std::function<void()> tell);
-  core::Report read_report(const std::string& text) const;
-  void link_gone(Link& link);
+  Link* link_to_ready(const std::string& id, const std::string& ref);
+  bool close_idle_link();
+  void later(std::function<void()> notify);
 };
 
 }  // namespace lotusyard::hosts
--- /dev/null
+++ b/src/hosts/ref_history.cpp
@@ -0,0 +1,50 @@
+#include "hosts/ref_history.h"
+
+#include <algorithm>
+
+namespace lotusyard::hosts {
+namespace {
+
+constexpr Millis kKept{10000};  // a host that is cut off for longer has its connection ended
+constexpr std::size_t kMaxRefs = 2048;
+
+}  // namespace
+
+void RefHistory::answered(const std::string& ref, Millis now) { add(ref, {now, 0}); }
+
+void RefHistory::dropped(const std::string& ref, Millis now, std::uint64_t drop_end) {
+  add(ref, {now, drop_end});
+}
+
+void RefHistory::confirm_read(std::uint64_t request_end) { confirmed_ = std::max(confirmed_, request_end); }
+
+RefHistory::Late RefHistory::take_late_answer(const std::string& ref, Millis now) {
+  const auto found = entries_.find(ref);
+  if (found == entries_.end()) return Late::unknown;
+  if (found->second.drop_end == 0) return Late::duplicate;
+  answered(ref, now);
+  return Late::first;
+}
+
+bool RefHistory::reusable(const std::string& ref, Millis now) const {
+  const auto found = entries_.find(ref);
+  return found == entries_.end() || now - found->second.ended > kKept;
+}
+
+void RefHistory::add(const std::string& ref, const Entry& entry) {
+  expire(entry.ended);
+  entries_[ref] = entry;
+  order_.emplace_back(entry.ended, ref);
+}
+
+void RefHistory::expire(Millis now) {
+  while (!order_.empty() && (now - order_.front().first > kKept || order_.size() > kMaxRefs)) {
+    const auto& [ended, ref] = order_.front();
+    const auto found = entries_.find(ref);
+    // A ref that was used again has a later place in the order, too.
+    if (found != entries_.end() && found->second.ended == ended) entries_.erase(found);
+    order_.pop_front();
+  }
+}
+
+}  // namespace lotusyard::hosts
