Use a connection again for a further attempt once no answer to the one before can come

Cause: a ref stayed barred from its connection for 10 s after its attempt, as the host's late answer would end the next one. So each further attempt at the same host opened a connection, or found none (hosts.no_link).

A dropped one is free once the host has also answered something written behind the drop: both directions keep their order, so it has read the drop and nothing to it can follow. Until then a further attempt takes another connection, as before. Both tests over connections fail without the change.

--- a/src/hosts/ref_history.cpp
+++ b/src/hosts/ref_history.cpp
@@ -28,7 +28,8 @@
 
 bool RefHistory::reusable(const std::string& ref, Millis now) const {
   const auto found = entries_.find(ref);
-  return found == entries_.end() || now - found->second.ended > kKept;
+  if (found == entries_.end()) return true;
+  return now - found->second.ended > duplicate_window_ && found->second.drop_end <= confirmed_;
 }
 
 void RefHistory::add(const std::string& ref, const Entry& entry) {
--- a/tests/lotusyard/links_test.cpp
+++ b/tests/lotusyard/links_test.cpp
@@ -2,12 +2,69 @@
 #include "helper.h"
 #include "hosts/link.h"
 #include "hosts/liveness.h"
+#include "hosts/ref_history.h"
+#include "net/fields.h"
 
 namespace lotusyard::test {
 namespace {
 
+using Kind = Reaction::Kind;
+using Late = hosts::RefHistory::Late;
 using Verdict = hosts::Liveness::Verdict;
 
+core::Call call_of(const std::string& ref) {
+  core::Call call;
+  call.ref = ref;
+  call.class_name = "bin-check";
+  call.function_name = "00000000000000a1";
+  call.function = 0xa1;
+  call.memory_mb = 300;
+  call.lanes = 4;
+  call.body = ref;
+  return call;
+}
+
+struct CountingFront final : core::Front {
+  std::vector<core::Verdict> verdicts;
+  void answer(core::CallId, core::Answer&& answer) override { verdicts.push_back(answer.verdict); }
+};
+
+TEST_CASE("a ref is used again only once no answer to its ended attempt can come") {
+  hosts::RefHistory history(Millis(100));
+  CHECK(history.reusable("a", Millis(0)));
+  SECTION("an answered one after the duplicate window") {
+    history.answered("a", Millis(10));
+    CHECK_FALSE(history.reusable("a", Millis(110)));
+    CHECK(history.reusable("a", Millis(111)));
+    CHECK(history.take_late_answer("a", Millis(60)) == Late::duplicate);
+  }
+  SECTION("a dropped one once the host has answered what was written behind the drop") {
+    history.dropped("a", Millis(10), 500);
+    history.confirm_read(499);
+    CHECK_FALSE(history.reusable("a", Millis(5000)));
+    history.confirm_read(500);
+    CHECK_FALSE(history.reusable("a", Millis(110)));
+    CHECK(history.reusable("a", Millis(111)));
+  }
+  SECTION("a late answer to a dropped one begins the duplicate window") {
+    history.dropped("a", Millis(10), 500);
+    CHECK(history.take_late_answer("a", Millis(300)) == Late::first);
+    CHECK(history.take_late_answer("a", Millis(310)) == Late::duplicate);
+    CHECK_FALSE(history.reusable("a", Millis(400)));
+    CHECK(history.reusable("a", Millis(401)));
+    CHECK(history.take_late_answer("b", Millis(401)) == Late::unknown);
+  }
+  SECTION("it is forgotten in the end, but not for an older use of the same ref") {
+    history.dropped("a", Millis(10), 500);
+    history.reuse("a");
+    history.dropped("a", Millis(9000), 900);
+    history.answered("b", Millis(10100));
+    CHECK_FALSE(history.reusable("a", Millis(10100)));
+    history.answered("c", Millis(19100));
+    CHECK(history.reusable("a", Millis(19100)));
+  }
+}
+
 TEST_CASE("a connection is checked when silent, ever later, and given up when a check is not answered") {
   hosts::Liveness liveness;
   liveness.connected(Millis(1000));
@@ -27,5 +84,45 @@
   CHECK(liveness.judge(Millis(1801), Millis(1000), 1) == Verdict::answer_cut_off);
 }
 
+// Failure found in review: a further attempt at the same host never used the connection of the one before.
+TEST_CASE("a further attempt at a host that was full goes over the same connection") {
+  hosts::Limits limits = World::limits();
+  limits.duplicate_window = Millis(0);
+  World world(1, settings(), limits);
+  int execs = 0;
+  world.host[0]->react = [&](const std::string&) {
+    return ++execs < 3 ? Reaction{Kind::reply, "full"} : Reaction();
+  };
+  CountingFront front;
+  core::Call call = call_of("000000000000000a");
+  call.arrived = world.loop.now();
+  call.allow = Millis(1400);
+  REQUIRE(world.dispatcher.take(world.dispatcher.next_id(), std::move(call), front));
+  REQUIRE(world.turn_until([&] { return !front.verdicts.empty(); }, 20000));
+  CHECK(front.verdicts[0] == core::Verdict::served);
+  CHECK(execs == 3);
+  CHECK(world.counters.value("hosts.links_opened") == 1);
+}
+
+TEST_CASE("a further attempt after a dropped one shares its connection once the host has read the drop") {
+  hosts::Limits limits = World::limits();
+  limits.duplicate_window = Millis(0);
+  World world(1, settings(), limits);
+  world.host[0]->react = [](const std::string& body) {
+    return body == "000000000000000a" ? Reaction{Kind::silence, ""} : Reaction();
+  };
+  world.fleet.exec({1, 0}, "h0", call_of("000000000000000a"), Millis(5000));
+  REQUIRE(world.turn_until([&] { return world.host[0]->execs == 1; }, 20000));
+  CHECK(world.fleet.drop({1, 0}));
+  const bool drop_was_read = GENERATE(true, false);
+  if (drop_was_read) {
+    world.fleet.exec({2, 0}, "h0", call_of("000000000000000b"), Millis(5000));
+    REQUIRE(world.turn_until([&] { return world.counters.value("hosts.answers.data") == 1; }, 20000));
+  }
+  world.fleet.exec({1, 1}, "h0", call_of("000000000000000a"), Millis(5000));
+  REQUIRE(world.turn_until([&] { return world.host[0]->execs == (drop_was_read ? 3 : 2); }, 20000));
+  CHECK(world.counters.value("hosts.links_opened") == (drop_was_read ? 1 : 2));
+}
+
 }  // namespace
 }  // namespace lotusyard::test
