Do not count connections to a host's former process among those to its new one

Cause: Fleet::link_for counted all open connections of the host, also those kept for calls at the process before a restart, so the new one was not reached while they were up (hosts.no_link). They count in all, as each holds a descriptor. The test fails without the change: the second call never comes to the host.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -41,7 +41,7 @@
   const bool restarted =
       known && (member.address != host.member.address || member.entry.started > host.member.entry.started);
   if (restarted) {
-    for (const auto& link : host.links) link->drain();
+    for (const auto& link : host.links) link->replace();
   }
   host.member = member;
   if (member.entry.state != WorkerState::ready) {
@@ -51,7 +51,7 @@
   // A new host may stand at the address of one that is gone, and be taken for it.
   for (auto& [other_id, other] : hosts_) {
     if (other_id == id || other.member.address != member.address) continue;
-    for (const auto& link : other.links) link->drain();
+    for (const auto& link : other.links) link->replace();
   }
 }
 
--- a/src/hosts/link.cpp
+++ b/src/hosts/link.cpp
@@ -137,6 +137,11 @@
   update_idle_timer();
 }
 
+void Link::replace() {
+  replaced_ = true;
+  drain();
+}
+
 void Link::send_request(const std::string& tag, Request::Kind kind, std::uint64_t function,
                         const std::string& line) {
   const Millis now = loop().now();
--- a/src/hosts/link.h
+++ b/src/hosts/link.h
@@ -49,7 +49,8 @@
   std::size_t load() const { return attempts_.size() + requests_.size(); }
   bool idle() const { return open() && load() == 0 && outbox().empty(); }
   Millis last_used() const { return liveness_.last_used(); }
-  bool counts_for_host() const { return open() || connecting(); }
+  /// False once the process that it leads to was replaced: it does not count among the new one's connections.
+  bool counts_for_host() const { return (open() || connecting()) && !replaced_; }
   /// True if an attempt may go out here under `ref`; empty for an order or a probe.
   bool accepts(const std::string& ref) const;
 
@@ -64,6 +65,8 @@
   void stop_using();
   /// The host is draining or gone: as `stop_using`, and what has not gone out within the grace never will.
   void drain();
+  /// The host runs a new process, or another host has its address: as `drain`, for good.
+  void replace();
 
  private:
   struct Sent {
@@ -101,8 +104,9 @@
   std::deque<WaitingLine> waiting_lines_;
   Millis last_timeout_{0};  // of the attempt that was sent last
   std::uint64_t health_checks_ = 0;
-  bool retired_ = false;  // nothing new goes here
-  bool suspect_ = false;  // it was silent for long when an attempt was dropped
+  bool retired_ = false;   // nothing new goes here
+  bool replaced_ = false;  // its host runs another process now
+  bool suspect_ = false;   // it was silent for long when an attempt was dropped
   bool watching_ = false;
   net::Loop::TimerId idle_timer_{}, drain_timer_{}, liveness_timer_{};
 
--- a/tests/lotusyard/links_test.cpp
+++ b/tests/lotusyard/links_test.cpp
@@ -124,5 +124,21 @@
   CHECK(world.counters.value("hosts.links_opened") == (drop_was_read ? 1 : 2));
 }
 
+// Failure found in review: connections to a host's former process counted among those to its new one.
+TEST_CASE("the connections of a host's former process do not keep calls from its new one") {
+  hosts::Limits limits = World::limits();
+  limits.links_a_host = limits.calls_a_host = 1;
+  World world(1, settings(), limits);
+  world.host[0]->react = [](const std::string&) { return Reaction{Kind::silence, ""}; };
+  world.fleet.exec({1, 0}, "h0", call_of("000000000000000a"), Millis(5000));
+  REQUIRE(world.turn_until([&] { return world.host[0]->execs == 1; }, 20000));
+  world.tell(robinfold::WorkerState::ready, world.loop.now().count());
+  world.fleet.exec({2, 0}, "h0", call_of("000000000000000b"), Millis(5000));
+  REQUIRE(world.turn_until([&] { return world.host[0]->execs == 2; }, 2000));
+  CHECK(world.counters.value("hosts.no_link") == 0);
+  world.fleet.exec({3, 0}, "h0", call_of("000000000000000b"), Millis(5000));
+  CHECK(world.counters.value("hosts.no_link") == 1);  // one to the new process is all that may be
+}
+
 }  // namespace
 }  // namespace lotusyard::test
