Hold the load budget by the time at which orders are written, too

Cause: the module counts an order when it decides; one that waits for its connection is written up to the connect time-out later, when calls may have left the window, so that a host sees one order too many after a burst that stops at once.

LoadBudget keeps the same budget by the time of writing; an order past it is not written, ends as one of which nothing was heard, and counts as guard.load_stopped. The test holds the loop for a window while the connection comes up, and fails without the change (the order is written).

--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -20,7 +20,8 @@
       clock_(std::move(clock)),
       hosts_(hosts),
       counters_(counters),
-      module_(settings, clock_()) {}
+      module_(settings, clock_()),
+      load_budget_(settings.load_window, settings.load_floor, settings.load_ratio) {}
 
 Dispatcher::Open* Dispatcher::find(CallId id) {
   const auto found = calls_.find(id);
@@ -72,6 +73,7 @@
     return false;
   }
   counters_.add("calls.taken");
+  load_budget_.note_call(clock_());
   Open& open = calls_[id];
   open.call = std::move(call);
   open.front = &front;
@@ -140,6 +142,12 @@
 void Dispatcher::probe_ended(ProbeOutcome&& end) { run(module_.report(clock_(), end)); }
 void Dispatcher::members(HostList&& list) { run(module_.report(clock_(), list)); }
 
+bool Dispatcher::take_load_budget() {
+  if (load_budget_.take(clock_())) return true;
+  counters_.add("guard.load_stopped");
+  return false;
+}
+
 void Dispatcher::tick() {
   const Millis now = clock_();
   run(module_.tick(now));
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "core/counters.h"
+#include "core/load_budget.h"
 #include "core/module.h"
 #include "core/types.h"
 
@@ -30,6 +31,8 @@
   void load_ended(LoadOutcome&& end);
   void probe_ended(ProbeOutcome&& end);
   void members(HostList&& list);
+  /// Asked when a load order is about to be written; false, and counted, if the load budget is spent.
+  bool take_load_budget();
 
   void tick();
   Millis next_due() const;
@@ -63,6 +66,7 @@
   Hosts& hosts_;
   Counters& counters_;
   Module module_;
+  LoadBudget load_budget_;
   CallId last_id_ = 0;
   std::unordered_map<CallId, Open> calls_;
   std::unordered_set<std::string> refs_;  // of open calls, and of those that ended a short while ago
--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -161,6 +161,8 @@
 
 void Fleet::on_probe_ended(core::ProbeOutcome&& end) { dispatcher_->probe_ended(std::move(end)); }
 
+bool Fleet::take_load_budget() { return dispatcher_->take_load_budget(); }
+
 void Fleet::on_link_closed(Link& link) {
   --links_;
   counters_.add("hosts.links_ended");
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -55,6 +55,7 @@
   void on_load_ended(core::LoadOutcome&& end) override;
   void on_probe_ended(core::ProbeOutcome&& end) override;
   void on_link_closed(Link& link) override;
+  bool take_load_budget() override;
 
   void take_member(const core::Member& member);
   Host* ready_host(const std::string& id);
--- a/src/hosts/link.cpp
+++ b/src/hosts/link.cpp
@@ -167,11 +167,21 @@
     return;  // it has timed out while it waited for the connection
   }
   Request& request = found->second;
+  if (request.kind == Request::Kind::load_order && !observer_.take_load_budget()) {
+    return refuse_load_order(line.tag);
+  }
   write(line.line + "\r\n");
   request.written = true;
   request.end = outbox().appended();
 }
 
+// Nothing is known of the instances there, as after a time-out.
+void Link::refuse_load_order(const std::string& tag) {
+  Request& request = requests_.at(tag);
+  loop().cancel(request.timer);
+  request.timer = loop().at(loop().now(), [this, tag] { request_timed_out(tag); });
+}
+
 void Link::write_attempt(const WaitingAttempt& attempt, Millis timeout, Sent& sent) {
   const auto whole = std::max<std::int64_t>(1, static_cast<std::int64_t>(std::floor(timeout.count())));
   std::string message = "exec " + attempt.ref + ' ' + attempt.fields + ",patience=" + std::to_string(whole) +
--- a/src/hosts/link.h
+++ b/src/hosts/link.h
@@ -31,6 +31,8 @@
   virtual void on_probe_ended(core::ProbeOutcome&& end) = 0;
   /// Comes before the ends of what was open on the link; the observer gives up its reference.
   virtual void on_link_closed(Link& link) = 0;
+  /// Asked when a load order is about to be written; false if it must not be.
+  virtual bool take_load_budget() = 0;
 };
 
 /// A connection to one process of a host: carries attempts, load orders and probes, and ends itself when the
@@ -119,6 +121,7 @@
   void send_request(const std::string& tag, Request::Kind kind, std::uint64_t function,
                     const std::string& line);
   void write_line(const WaitingLine& line);
+  void refuse_load_order(const std::string& tag);
   bool take(Reply&& reply);
   bool take_attempt_answer(std::map<std::string, Sent>::iterator found, Reply&& reply,
                            const net::Fields& fields);
--- a/tests/lotusyard/links_test.cpp
+++ b/tests/lotusyard/links_test.cpp
@@ -1,4 +1,5 @@
 // Connections to hosts: which attempt goes over which one, and when load orders are written.
+#include "core/load_budget.h"
 #include "helper.h"
 #include "hosts/link.h"
 #include "hosts/liveness.h"
@@ -84,6 +85,18 @@
   CHECK(liveness.judge(Millis(1801), Millis(1000), 1) == Verdict::answer_cut_off);
 }
 
+TEST_CASE("the load budget holds by the time at which orders are written") {
+  core::LoadBudget budget(Millis(1000), 1, 0.5);
+  budget.note_call(Millis(0));
+  budget.note_call(Millis(10));
+  CHECK(budget.take(Millis(20)));
+  CHECK(budget.take(Millis(30)));
+  CHECK_FALSE(budget.take(Millis(40)));
+  CHECK_FALSE(budget.take(Millis(1020)));
+  CHECK(budget.take(Millis(1031)));
+  CHECK(core::LoadBudget(Millis(0), 0, 0).take(Millis(0)));
+}
+
 // Failure found in review: a further attempt at the same host never used the connection of the one before.
 TEST_CASE("a further attempt at a host that was full goes over the same connection") {
   hosts::Limits limits = World::limits();
@@ -140,5 +153,30 @@
   CHECK(world.counters.value("hosts.no_link") == 1);  // one to the new process is all that may be
 }
 
+// Failure found in review: an order was counted when it was decided, and written after calls had left the
+// window.
+TEST_CASE("a load order that waits for its connection is not written past the load budget") {
+  core::Settings s = settings();
+  s.load_window = Millis(100);
+  s.load_floor = 0;
+  s.load_ratio = 1;
+  World world(1, s);
+  CountingFront front;
+  const auto take_call = [&](const std::string& ref) {
+    core::Call call = call_of(ref);
+    call.arrived = world.loop.now();
+    call.allow = Millis(1400);
+    REQUIRE(world.dispatcher.take(world.dispatcher.next_id(), std::move(call), front));
+  };
+  take_call("000000000000000a");
+  world.fleet.ensure("h0", 0xa1, 1);
+  const bool window_passes = GENERATE(true, false);
+  const Millis until = world.loop.now() + s.load_window + Millis(10);
+  while (window_passes && world.loop.now() < until) {}  // the connection is not up before the next turn
+  REQUIRE(world.turn_until([&] { return front.verdicts.size() == 1; }, 20000));
+  CHECK(world.host[0]->orders == (window_passes ? 0 : 1));
+  CHECK(world.counters.value("guard.load_stopped") == (window_passes ? 1 : 0));
+}
+
 }  // namespace
 }  // namespace lotusyard::test
