Size the budget of cold hosts by what warm ones could serve, not by what they happen to serve

At fault: fleet_rate, which takes what a warm host serves for what it could serve, at a tenth of its cores in use.

Now the served rate is divided by the share of cores in use, which a probe of one warm host at random tells, at most once in 5 s and only while the budget keeps a call from a cold host. The share counts as a quarter at least.

--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -35,6 +35,8 @@
 constexpr double kStretchMost = 20;   // a stretch counts at most as this
 constexpr double kErrorGain = 0.4;    // EWMA gain of a class's failures at one worker: two exclude it
 constexpr double kErrorBad = 0.5;     // share of failures there that excludes, over half the class's share
+constexpr double kLeastUse = 0.25;    // a use of cores under this is taken as this: samples are few and noisy
+constexpr Millis kUsePace{5000};      // pace of its probes, while a cold worker's budget keeps calls from it
 constexpr double kColdSafety = 0.6;   // part of the cold budget that is used: chance and clock slack
 constexpr double kRemote = 1.15;      // another zone counts as this much busier
 constexpr double kEasy = 2;           // a stretch up to this is chance: service times vary
@@ -155,7 +157,7 @@
 
  private:
   Settings s_;
-  Millis now_{kNever};
+  Millis now_{kNever}, use_sampled_{kNever};
   std::vector<Action>* out_ = nullptr;
   std::map<std::string, double> tally_;
   bool live_ = false, reports_queue_ = false;
@@ -169,7 +171,7 @@
   std::unordered_map<std::string, std::uint64_t> request_index_;
   double longest_wait_ = 1e9;         // the shortest aim of all classes
   std::vector<ClassRecord> classes_;  // by slot
-  Average any_run_, any_load_, peer_calls_;
+  Average any_run_, any_load_, peer_calls_, core_use_;
   std::uint64_t next_serial_ = 1;
   std::deque<Millis> taken_, ordered_;                     // for the load ration
   double served_ = 0, fleet_stretch_ = 1, own_calls_ = 0;  // own_calls_: of late, decaying
@@ -201,8 +203,7 @@
     const Millis since = std::max(w.started, w.died);
     return w.lost || (since.count() > 0 && now_ - since < s_.cold_for);
   }
-  // Danger: a worker that takes calls and answers none keeps looking idle. But many routers send calls to
-  // wait for a load, and all that a quiet one has out there may do so: no silence, nor is the call lost.
+  // Passive health check: takes calls, answers none. All that is out there may wait for a load: no silence.
   bool silent(const Worker& w) const {
     const Millis load = w.inflight > w.opening ? Millis(0) : load_patience(any_load_.value);
     return w.inflight > 0 && now_ - w.heard > patience(any_run_.value) + load;
@@ -254,14 +255,15 @@
   void read_report(Worker& w, const Report& report) {
     for (std::size_t i = 0; report && i < report->size() && i < s_.report_fields.size(); ++i) {
       const bool queue = s_.report_fields[i] == ReportField::queue;
+      if (s_.report_fields[i] == ReportField::utilisation && !cold(w))
+        core_use_.add(std::max((*report)[i], 0.0), kStretchGain, 1e9);
       if (!queue && (reports_queue_ || s_.report_fields[i] != ReportField::inflight)) continue;
       w.waiting = std::min(std::max((*report)[i] - (queue ? 0 : kAtOnce), 0.0), 1000.0);
       w.waiting_at = now_;
       w.waiting_told = false;
     }
   }
-  // Danger: one router of many hears from a worker once in seconds. Two routers a worker probe it (or whoever
-  // has an answer tells) and tell all. A false or lost message costs at most some worse choices.
+  // Two routers a worker probe it (or whoever has an answer) and tell all: each alone hears from it seldom.
   void watch_loads() {
     if (!s_.peers || s_.routers < 2) return;
     const auto all = static_cast<std::uint64_t>(s_.routers), me = static_cast<std::uint64_t>(s_.rank);
@@ -288,12 +290,12 @@
     act(action::Tell{std::nullopt, text});
   }
   double own_calls() const { return own_calls_ * fading(own_calls_at_, kDemandTau); }
-  // Danger: a busy router that takes itself for the mean one spreads its functions over all workers, and the
-  // loads push each other out. So routers tell their calls of late; this is own calls over the mean's.
+  // Own calls over the mean router's: a busy one would else spread its functions over too many workers.
   double own_share() const {
     return peer_calls_.known() ? std::max(own_calls() / std::max(peer_calls_.value, 0.1), kShareLeast) : 1;
   }
-  void hear_news(const std::string& text) {
+  void on(const event::Peer& e) {
+    const std::string& text = e.text;
     for (std::size_t i = 0; i + 4 <= text.size(); i += 4) {
       const char level = text[i + 3];
       if (text.compare(i, 3, kCallsTag) == 0) peer_calls_.add(std::exp2((level - '0') / 4.0), kNewsGain, 1e9);
@@ -311,7 +313,7 @@
       w.waiting_told = true;
     }
   }
-  // Danger: a class may fail at part of the workers, or everywhere: it is judged against the class elsewhere.
+  // Outlier detection: a class that fails everywhere ejects nobody, so it is judged against itself elsewhere.
   void judge(Worker& w, int cls, bool failed) {
     Health& h = w.classes[slot(cls)];
     double& usual = classes_[slot(cls)].errors;
@@ -327,8 +329,7 @@
     h.probation = true;
     h.errors = 0;
   }
-  // Danger: one connection that breaks says little of its worker: taken for a death, it leaves out a warm
-  // worker for a whole cold time. A probe on another connection tells. Guards also against a refused connect.
+  // One broken connection only makes its worker suspect: a probe on another one tells whether it runs.
   void doubt(Worker& w, bool reset) {
     if (!s_.probes || w.state != WorkerState::ready) return unreachable(w, reset);
     w.doubted_reset = reset || (w.doubted_reset && now_ - w.doubted <= kSilence);
@@ -345,8 +346,7 @@
     eject(w);
   }
   bool alive(const Worker& w) const { return now_ - w.answered < kAlive; }
-  // Danger: after a restart not yet listed many routers send a cold worker their full load. Who meets a loss
-  // tells all: the cold budget holds till it is back and a cold time from then. News of one heard is dropped.
+  // Marks it down and tells all: one that restarts unlisted would get many routers' full load.
   void lose(Worker& w, bool tell) {
     if (!w.lost) forget_copies(index_of(w));
     w.lost = true;
@@ -367,6 +367,13 @@
     const double served = served_ * fading(served_at_, kRateTau) / kRateTau.count();
     return warm > 0 && served > 0 ? served / static_cast<double>(warm) : 1.0 / s_.routers;
   }
+  void sample_core_use() {  // of one warm worker at random; reports come with probes alone
+    if (!s_.probes || s_.reports != ReportMode::probe || now_ - use_sampled_ < kUsePace) return;
+    const Worker& w = workers_[random_() % workers_.size()];
+    if (!usable(w) || cold(w)) return;
+    use_sampled_ = now_;
+    act(action::Probe{w.worker});
+  }
 
   void on(const event::List& e) {
     if (!live_) return;
@@ -408,8 +415,7 @@
   }
 
   // ---- Places ------------------------------------------------------------------------------------------
-  // Danger: with many routers each sees a sliver of a function's calls. All hash it to the same few workers
-  // (rendezvous), so that one's copy serves the others, and each uses them in an order of its own.
+  // Rendezvous hashing: all routers agree on a function's few workers; each has an order of its own in them.
   double demand(const Function& f) const {  // this router's calls of the function in service at once
     const Millis span = std::min(kDemandTau, std::max(kDemandLeast, now_ - f.born));
     const double lately = f.arrivals * fading(f.seen, kDemandTau);
@@ -446,8 +452,7 @@
     const double run = classes_[slot(cls)].base;
     return s_.worth_by_work || run <= 0 ? worth : worth / run;
   }
-  // Danger: in an overload all is served, all late. The wait that a call accepts falls with its worth; one
-  // past its aim goes only where nothing waits.
+  // Load shedding: the wait that a call accepts falls with its worth; past its aim it takes none.
   bool worth_sending(const Request& r, const Worker& w) {
     const double run = base_of(*r.function);
     const double wait = run * std::max(0.0, stretch_of(w) - kEasy);
@@ -489,8 +494,7 @@
   bool warm(const Copy& c) const {  // beliefs lapse after the told keep-alive
     return c.standing > 0 && (c.busy > 0 || now_ - c.used <= s_.keep_alive || s_.keep_alive.count() <= 0);
   }
-  // K in lanes: copies in use where the head may go; something is held. Danger: lanes at a worker that turns
-  // calls away are taken by other routers. Counted, they hold our calls to the deadline while others idle.
+  // K in lanes: copies in use where the head may go now. Lanes at a worker that is full are other routers'.
   int lanes_of(Function& f) {
     int k = 0;
     const Request& r = *head(f);
@@ -564,8 +568,7 @@
   int next_place(Function& f) {  // the first of this router's places that may load and holds no copy yet
     place(f);
     const Request* r = head(f);
-    // Danger: calls that spill past the agreed places load copies there, which push out others, so all load:
-    // it stays so when the burst is gone. Those lost, failing or cold do not count, nor does a load in time.
+    // Calls past the agreed places load copies that push out others. Those unusable or cold do not count.
     const bool in_time = now_ + Millis(load_of(f) + base_of(f)) <= r->aim_at;
     int met = 0;
     for (const int index : f.places) {
@@ -639,17 +642,20 @@
     if (r.done || r.streaming || now_ >= r.deadline || spent || (!s_.second_copies && r.out())) return false;
     return usable(w) && serves(w, r.cls) && may_repeat(r, &w) && may_warm(r, w);
   }
-  // Rule 4. A cold worker is sent the stated multiple of its present share of what this router gets served by
-  // a warm one. Danger: with many routers that is under a call a window: it is saved up, from a random start.
+  // Rule 4: a cold worker is sent the multiple of its share of what a warm one could serve, that is what it
+  // does serve over the use of its cores. With many routers this is under a call a window: saved from a
+  // random start.
   bool may_warm(const Request& r, Worker& w) {
     if (!cold(w)) return true;
     const double age = w.lost ? 0 : std::max(0.0, (now_ - std::max(w.started, w.died)) / s_.cold_for);
     const double share = s_.cold_from + (1 - s_.cold_from) * std::min(1.0, age), work = work_of(r);
-    const double pace = kColdSafety * s_.cold_multiple * share * fleet_rate();
+    const double use = core_use_.known() ? std::max(core_use_.value, kLeastUse) : 1;
+    const double pace = kColdSafety * s_.cold_multiple * share * fleet_rate() / use;
     if (w.cold_filled == kNever) w.cold_tokens = work * chance();
     if (w.cold_filled > kNever) w.cold_tokens += pace * (now_ - w.cold_filled).count();
     w.cold_filled = now_;
     w.cold_tokens = std::min(w.cold_tokens, std::max(work, pace * s_.cold_window.count() / 5));
+    if (w.cold_tokens < work) sample_core_use();
     return w.cold_tokens >= work;
   }
   double work_of(const Request& r) const {
@@ -698,8 +704,7 @@
     const Millis left = (r.aim_at - now_) / 2;
     return left.count() > 0 ? std::min(left * (0.5 + chance()), s_.max_retry_after) : s_.max_retry_after;
   }
-  // Danger: calls held past their aims take the lanes of calls that could meet theirs, and all are late. They
-  // end at once, but for those that a load of ours is on the way for.
+  // Calls past their aim end at once, unless a load is under way: they would make those behind them late.
   void shed(Function& f) {
     const bool loading = std::any_of(f.copies.begin(), f.copies.end(), [](auto& c) { return c.loading > 0; });
     for (const auto serial : std::deque<std::uint64_t>(f.queue)) {
@@ -737,8 +742,7 @@
     r.deadline = now_ + e.expires_in;
     const ClassSettings* c = class_of(r);
     r.aim_at = c != nullptr && c->aim.count() > 0 ? std::min(r.deadline, now_ + c->aim) : r.deadline;
-    // Danger: a later try looks new, though its aim has passed. First tries are all given the same time;
-    // a later one what is left of the class's deadline, more or less than that: it tells when it began.
+    // First tries are all given the same time, later ones what is left of the deadline: their aim has begun.
     ClassRecord& record = classes_[slot(r.cls)];
     const bool alike = std::abs((e.expires_in - record.first_try).count()) <= 2 * s_.tick.count();
     record.alike = std::min(record.alike + (alike ? 3 : -1), kAlikeMost);  // two of three may be later ones
@@ -850,9 +854,7 @@
       default: break;
     }
   }
-  // Danger: where answers don't tell of loads, one that waited for a load looks like a run many times as
-  // long. It would inflate R and stretch, and warm workers be sent nothing. A copy that stood may have been
-  // pushed out: past any usual stretch that is taken to be so.
+  // Where answers don't tell: this one waited for a load, and would inflate R and stretch if taken for a run.
   bool shows_load(const Attempt& a, const Worker& w, const Request& r, double elapsed) const {
     const double usual = work_of(r) * (a.proven ? kOutlier * std::max(1.0, stretch_of(w)) : kLoadShows);
     return elapsed > usual;
@@ -904,7 +906,6 @@
       if (r->attempts[i].state == AttemptState::out) act(action::Cancel{e.id, static_cast<int>(i)});
     finish(*r);
   }
-  void on(const event::Peer& e) { hear_news(e.text); }
   void on(const event::StreamBegan& e) {
     if (Request* r = find_request(e.id)) r->streaming = true;
   }
@@ -996,8 +997,7 @@
     const auto empty = [](const Copy& c) { return c.standing + c.loading + c.busy == 0; };
     f.copies.erase(std::remove_if(f.copies.begin(), f.copies.end(), empty), f.copies.end());
   }
-  // Danger: ids of workers never come back; kept for good, each deploy would leave some behind. What still
-  // names a place ends well before it is given to another.
+  // Ids never come back. What still names a place ends well before it is given to another worker.
   void prune_workers() {
     for (auto& w : workers_) {
       if (w.worker.empty() || w.state != WorkerState::gone || w.inflight || now_ < w.gone + kForget) continue;
--- a/tests/policy_test.cpp
+++ b/tests/policy_test.cpp
@@ -90,6 +90,45 @@
   EXPECT_LE(calls, 2.5 * 0.43 * 10000 / 250);
 }
 
+// Failure found (rude+mass, seed 101): with warm workers at little use, a cold one got a tenth of what it
+// bears.
+TEST(Rule4, AColdWorkerGetsMoreWhereWarmOnesUseLittleOfTheirCores) {
+  const auto sent_to_cold = [](double use, std::size_t& probes) {
+    Settings s = settings();
+    s.routers = 100;
+    s.probes = true;
+    s.reports = ReportMode::probe;
+    s.report_fields = {ReportField::utilisation};
+    Router r(s);
+    r.list({entry("w0"), entry("w1"), entry("w2"), entry("w3", WorkerState::ready, 990)});
+    int sent = 0;
+    std::size_t seen = 0, probed = 0;
+    for (int i = 1; i <= 1000; ++i) {
+      r.request(id("x", i), static_cast<std::uint64_t>(i));
+      for (; seen < r.sends.size(); ++seen) {
+        sent += r.sends[seen].worker == "w3";
+        r.answer(action::Send(r.sends[seen]), Outcome::ok, 80);
+      }
+      for (; probed < r.probes.size(); ++probed) {
+        r.give(event::Probed{r.probes[probed], Outcome::ok, Millis(1), std::vector<double>{use}});
+      }
+      r.pass(2);
+    }
+    EXPECT_FALSE(r.broken);
+    probes = r.probes.size();
+    return sent;
+  };
+  std::size_t probes = 0;
+  const int at_full_use = sent_to_cold(1, probes);
+  EXPECT_LE(probes, 3U);  // one in 5 s, while calls are kept from a cold worker
+  const int at_half_use = sent_to_cold(0.5, probes);
+  EXPECT_GE(at_half_use, 1.5 * at_full_use);
+  EXPECT_LE(at_half_use, 2.1 * at_full_use);
+  // The least use that is believed is a quarter, and no use at all is a report as good as any.
+  EXPECT_LE(sent_to_cold(0, probes), 4.2 * at_full_use);
+  EXPECT_GE(sent_to_cold(0, probes), at_half_use);
+}
+
 // Failure found (L05b3a2): routers that had not met a restart themselves sent the cold worker their full
 // load.
 TEST(Rule4, ALossToldByAPeerIsColdFromTheReturn) {
