Read an xDS file again that was written twice in a moment; reject what is no list

Found by going through src/xds line by line: - Something else in place of a list of endpoints read as an empty list, and all hosts were gone. It is rejected now. - A file written in place twice within a tick of the file system's clock kept its time and size, and the second writing was never read. A file changed less than 2 s ago is read at each look; a list in force is not taken again. - Why a file was rejected was told nowhere after the start. It is logged once for each writing, and counted once. Ruled out: half a file (rejected, the hosts stay; the rest is taken when it comes), a file that is gone for a moment. The tests fail without the change.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -138,7 +138,9 @@
   std::optional<feed::Feed> feed;
   std::optional<xds::HostFile> host_file;
   if (config.xds) {
-    host_file.emplace(loop, counters, config.xds->file, config.xds->cluster, config.xds->reread, told_later);
+    host_file.emplace(
+        loop, counters, config.xds->file, config.xds->cluster, config.xds->reread, told_later,
+        [&](const std::string& fault) { log_errors.write_line("lotusyard: xds.file: " + fault); });
     std::string fault;
     if (!host_file->start(fault)) throw config::ConfigError("configuration: xds.file: " + fault);
   } else {
--- a/src/xds/hosts.cpp
+++ b/src/xds/hosts.cpp
@@ -2,7 +2,10 @@
 
 #include <sys/stat.h>
 
+#include <chrono>
 #include <fstream>
+#include <functional>
+#include <iterator>
 #include <set>
 #include <tuple>
 
@@ -17,6 +20,10 @@
 using core::WorkerState;
 using nlohmann::json;
 
+constexpr std::size_t kMaxQuoted = 200;  // bytes of the file in a fault
+// A file changed so lately may change again without another time of change or size.
+constexpr std::chrono::seconds kRecent{2};
+
 // The JSON form of a protobuf message may name its fields in either way.
 const json& either(const json& object, const char* snake, const char* camel) {
   const json& found = key(object, snake);
@@ -86,13 +93,24 @@
   core::MemberList out;
   out.complete = true;
   std::set<std::string> seen;
+  // Something else in place of a list would read as an empty one, and all hosts would be gone.
+  const auto is_list = [](const json& value) { return value.is_null() || value.is_array(); };
+  if (!is_list(key(*assignment, "endpoints"))) {
+    fault = "endpoints is not a list";
+    return std::nullopt;
+  }
   for (const auto& group : key(*assignment, "endpoints")) {
-    for (const auto& endpoint : either(group, "lb_endpoints", "lbEndpoints")) {
+    const json& endpoints = either(group, "lb_endpoints", "lbEndpoints");
+    if (!group.is_object() || !is_list(endpoints)) {
+      fault = "a group of endpoints is not an object with a list: " + group.dump().substr(0, kMaxQuoted);
+      return std::nullopt;
+    }
+    for (const auto& endpoint : endpoints) {
       core::Member member;
       member.address = member.entry.worker = address_of(endpoint);
       if (member.address.empty() || !seen.insert(member.address).second) {
-        fault =
-            "an endpoint without a numeric address and port of its own: " + endpoint.dump().substr(0, 200);
+        fault = "an endpoint without a numeric address and port of its own: " +
+                endpoint.dump().substr(0, kMaxQuoted);
         return std::nullopt;
       }
       member.entry.state = state_of(endpoint);
@@ -108,19 +126,24 @@
 }
 
 HostFile::HostFile(net::Loop& loop, core::Counters& counters, std::string path, std::string cluster,
-                   core::Millis pace, Told told)
+                   core::Millis pace, Told told, Rejected rejected)
     : loop_(loop),
       counters_(counters),
       path_(std::move(path)),
       cluster_(std::move(cluster)),
       pace_(pace),
-      told_(std::move(told)) {}
+      told_(std::move(told)),
+      rejected_(std::move(rejected)) {}
 
-std::string HostFile::stamp() const {
+HostFile::Stamp HostFile::stamp() const {
   struct stat at {};
   if (stat(path_.c_str(), &at) != 0) return {};
-  return std::to_string(at.st_ino) + ' ' + std::to_string(at.st_size) + ' ' +
-         std::to_string(at.st_mtim.tv_sec) + ' ' + std::to_string(at.st_mtim.tv_nsec);
+  Stamp stamp;
+  stamp.text = std::to_string(at.st_ino) + ' ' + std::to_string(at.st_size) + ' ' +
+               std::to_string(at.st_mtim.tv_sec) + ' ' + std::to_string(at.st_mtim.tv_nsec);
+  const auto changed = std::chrono::system_clock::from_time_t(at.st_mtim.tv_sec);
+  stamp.recent = std::chrono::system_clock::now() - changed < kRecent;
+  return stamp;
 }
 
 bool HostFile::start(std::string& fault) {
@@ -134,7 +157,7 @@
   const auto before = std::make_pair(path_, cluster_);
   path_ = path;
   cluster_ = cluster;
-  const std::string now = stamp();
+  const Stamp now = stamp();
   if (!read(fault)) {
     std::tie(path_, cluster_) = before;
     return false;
@@ -144,37 +167,48 @@
 }
 
 bool HostFile::read(std::string& fault) {
-  std::ifstream in(path_);
-  const json file = json::parse(in, nullptr, false);
-  fault = "cannot be read as JSON";
-  auto list = file.is_discarded() ? std::nullopt : read_hosts(file, cluster_, fault);
-  if (!list) {
-    counters_.add("xds.rejected");  // the hosts stay as they were
-    return false;
+  std::ifstream in(path_, std::ios::binary);
+  const std::string content((std::istreambuf_iterator<char>(in)), std::istreambuf_iterator<char>());
+  const std::string version = cluster_ + ' ' + std::to_string(content.size()) + ' ' +
+                              std::to_string(std::hash<std::string>()(content));
+  if (version != version_) {
+    version_ = version;
+    fault_ = take(content);
+    counters_.add(fault_.empty() ? "xds.lists" : "xds.rejected");
   }
-  counters_.add("xds.lists");
+  fault = fault_;
+  return fault_.empty();
+}
+
+// Gives the fault, if there is one: the hosts then stay as they were.
+std::string HostFile::take(const std::string& content) {
+  const json file = json::parse(content, nullptr, false);
+  std::string fault = "cannot be read as JSON";
+  auto list = file.is_discarded() ? std::nullopt : read_hosts(file, cluster_, fault);
+  if (!list) return fault;
   std::map<std::string, core::Millis> started;
   for (auto& member : list->members) {
     const auto known = started_.find(member.entry.worker);
-    // Danger: one that has just been added is cold, and would be sent a warm host's share.
-    member.entry.started = known != started_.end() ? known->second
-                           : read_once_            ? loop_.now()
-                                                   : core::Millis(0);
+    // One that has just been added is cold, and would be sent a warm host's share.
+    member.entry.started = read_once_ ? loop_.now() : core::Millis(0);
+    if (known != started_.end()) member.entry.started = known->second;
     started[member.entry.worker] = member.entry.started;
   }
   started_ = std::move(started);
   read_once_ = true;
   told_(*list);
-  return true;
+  return {};
 }
 
 void HostFile::look() {
   timer_ = loop_.at(loop_.now() + pace_, [this] { look(); });
-  const std::string now = stamp();
-  if (now.empty() || now == stamp_) return;  // a file that is just being replaced comes back
+  const Stamp now = stamp();
+  if (now.text.empty()) return;  // a file that is just being replaced comes back
+  const bool changed = now.text != stamp_.text;
+  if (!changed && !stamp_.recent) return;
   stamp_ = now;
   std::string fault;
-  read(fault);
+  if (!read(fault) && changed && rejected_) rejected_(fault);
 }
 
 }  // namespace lotusyard::xds
--- a/src/xds/hosts.h
+++ b/src/xds/hosts.h
@@ -22,8 +22,9 @@
 class HostFile {
  public:
   using Told = std::function<void(const core::MemberList&)>;
+  using Rejected = std::function<void(const std::string& fault)>;
   HostFile(net::Loop& loop, core::Counters& counters, std::string path, std::string cluster,
-           core::Millis pace, Told told);
+           core::Millis pace, Told told, Rejected rejected = {});
   ~HostFile() { loop_.cancel(timer_); }
   bool start(std::string& fault);  // false if the first reading fails
   // The list is in another file, or another cluster's, from now on; false, and nothing changed, if it cannot
@@ -36,13 +37,21 @@
   std::string path_, cluster_;
   core::Millis pace_;
   Told told_;
+  Rejected rejected_;  // of a file that has changed and cannot be read
   net::Loop::TimerId timer_{};
-  std::string stamp_;  // what tells one writing of the file from the next
+  struct Stamp {  // what tells one writing of the file from the next
+    std::string text;
+    bool recent = false;  // a further writing may bear the same text
+  };
+  Stamp stamp_;
+  std::string version_;  // of what was read last: cluster, size and hash of the file
+  std::string fault_;    // of that; empty: it is in force
   bool read_once_ = false;
   std::map<std::string, core::Millis> started_;  // of the hosts on the last list
 
-  std::string stamp() const;
+  Stamp stamp() const;
   bool read(std::string& fault);
+  std::string take(const std::string& content);
   void look();
 };
 
--- a/tests/lotusyard/config_test.cpp
+++ b/tests/lotusyard/config_test.cpp
@@ -1,6 +1,8 @@
 // The one reader of configuration, and Envoy's list of hosts.
 #include "config/config.h"
 
+#include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <cstdio>
@@ -154,6 +156,65 @@
                               "bins", fault));
 }
 
+// Failure found in review: something else in place of a list read as an empty one, and all hosts were gone.
+TEST_CASE("an xDS file with something else in place of a list of endpoints is rejected") {
+  std::string fault;
+  json whole = assignment(json::array({endpoint(1, "HEALTHY")}));
+  json wrong = whole;
+  wrong["endpoints"] = "none";
+  CHECK_FALSE(xds::read_hosts(wrong, "bins", fault));
+  wrong["endpoints"] = json::array({"none"});
+  CHECK_FALSE(xds::read_hosts(wrong, "bins", fault));
+  wrong = whole;
+  wrong["endpoints"][0]["lb_endpoints"] = 7;
+  CHECK_FALSE(xds::read_hosts(wrong, "bins", fault));
+  wrong = whole;
+  wrong["endpoints"] = json::array();
+  REQUIRE(xds::read_hosts(wrong, "bins", fault));
+  CHECK(xds::read_hosts(wrong, "bins", fault)->members.empty());
+}
+
+// Failure found in review: a file written in place twice within a tick of the file system's clock kept its
+// time and size, and the second writing was never read.
+TEST_CASE("an xDS file written in place twice in a moment is read again; half of it is rejected once") {
+  net::Loop loop;
+  core::Counters counters;
+  char path[] = "/tmp/lotusyard-xds-XXXXXX";
+  const net::Socket made(mkstemp(path));
+  struct stat first {};
+  const auto write = [&](const std::string& text) { std::ofstream(path) << text; };
+  const std::string ready = assignment(json::array({endpoint(1, "HEALTHY")})).dump();
+  const std::string moved = assignment(json::array({endpoint(2, "HEALTHY")})).dump();
+  REQUIRE(ready.size() == moved.size());
+  write(ready);
+  REQUIRE(stat(path, &first) == 0);
+  std::vector<core::MemberList> told;
+  std::vector<std::string> faults;
+  xds::HostFile file(
+      loop, counters, path, "bins", Millis(5), [&](const auto& list) { told.push_back(list); },
+      [&](const std::string& why) { faults.push_back(why); });
+  std::string fault;
+  REQUIRE(file.start(fault));
+  write(moved);
+  const timespec times[] = {first.st_atim, first.st_mtim};
+  REQUIRE(utimensat(AT_FDCWD, path, times, 0) == 0);
+  const auto turn_until = [&](const auto& until) {
+    for (int i = 0; i < 200 && !until(); ++i) loop.turn(loop.now() + Millis(20), [] {});
+    return until();
+  };
+  REQUIRE(turn_until([&] { return told.size() == 2; }));
+  CHECK(told[1].members.at(0).address == "127.0.0.1:2");
+  write(ready.substr(0, ready.size() / 2));
+  REQUIRE(turn_until([&] { return !faults.empty(); }));
+  for (int i = 0; i < 5; ++i) loop.turn(loop.now() + Millis(20), [] {});
+  CHECK(counters.value("xds.rejected") == 1);
+  CHECK(faults.size() == 1);
+  CHECK(told.size() == 2);
+  write(ready);
+  CHECK(turn_until([&] { return told.size() == 3; }));
+  std::remove(path);
+}
+
 TEST_CASE("an xDS file is read again when it changes; what was added has just started") {
   net::Loop loop;
   core::Counters counters;
