Publish the answer to a call sent anew; do not begin to consume while draining

Found by going through src/amqp line by line: - A call sent anew after a refusal was taken for a further delivery of it while the broker had not confirmed the refusal: its answer came only by a redelivery, after the next connection. Both answers are told apart now. - Told to drain while its channel was being set up, the front began to consume afterwards and took calls of a process that ends. It closes such a channel now. Ruled out: answers lost with a connection (redelivered), confirms out of order, a broker that falls silent or asks for a pause, a body longer than allowed. The tests fail without the change.

--- a/src/amqp/front.cpp
+++ b/src/amqp/front.cpp
@@ -66,6 +66,7 @@
 void Front::channel_up() {
   counters_.add("amqp.up");
   pause_ = Millis(0);
+  if (draining_) channel_->stop_consuming();
   resend();
 }
 
@@ -87,7 +88,11 @@
 void Front::drain() {
   draining_ = true;
   loop_.cancel(reconnect_);
-  if (channel_) channel_->stop_consuming();
+  if (!channel_) return;
+  // A channel that is still being set up would begin to consume.
+  const bool unused = !channel_->up() && running_.empty() && unsent_.empty();
+  if (unused) return channel_->close();
+  channel_->stop_consuming();
 }
 
 bool Front::done() const {
@@ -195,14 +200,17 @@
 // One answer for each address: a further delivery of the same call waits for the same confirm, or needs none.
 void Front::answer_delivery(const std::string& id, std::uint64_t tag, const Address& address,
                             bool redelivered) {
-  const auto same = [&](const Publishing& p) { return p.id == id && p.address == address; };
+  const Remembered& known = *memory_.find(id);
+  // A call sent anew after a refusal has an answer of its own, also while the refusal is not confirmed yet.
+  const auto same = [&](const Publishing& p) {
+    return p.id == id && p.address == address && p.answer == known.answer;
+  };
   for (auto& [number, publishing] : unconfirmed_) {
     if (same(publishing)) return publishing.tags.push_back(tag);
   }
   for (auto& publishing : unsent_) {
     if (same(publishing)) return publishing.tags.push_back(tag);
   }
-  const Remembered& known = *memory_.find(id);
   const bool held =
       std::find(known.confirmed.begin(), known.confirmed.end(), address) != known.confirmed.end();
   if (held && redelivered) return channel_->ack(tag);  // only our ack was lost, not the answer
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -403,6 +403,7 @@
   std::size_t acked = 0, rejected = 0, dropped = 0;
   std::uint16_t heartbeat_s = 0;  // this broker sends no heartbeats, whatever it agreed to
   int missing_queues = 0;
+  bool withholds_confirms = false;
 
   bool chance(unsigned in_thousand) { return below(random, 1000) < in_thousand; }
   // Sends a call; its fields as an operator's tablet would give them.
@@ -447,6 +448,7 @@
     answers.push_back(answer);
     held[answer.properties.correlation_id].push_back(answer);
     if (chance(chaos.drop / 2)) return drop(peer);  // it is held, but the confirm is lost
+    if (withholds_confirms) return;
     peer.say(amqp::method::basic_ack, 1, amqp::Writer().u64(number).u8(0));
     if (!chance(chaos.drop / 2)) return;
     peer.flush_now();  // the confirm arrives, our ack is lost
--- a/tests/lotusyard/triggers_test.cpp
+++ b/tests/lotusyard/triggers_test.cpp
@@ -137,6 +137,36 @@
   CHECK(t.world.host[0]->execs == 1);
 }
 
+// Failure found in review: the answer to a call that was sent anew was held back while the refusal before it was
+// not confirmed, and came only by a redelivery over the next connection.
+TEST_CASE("a call sent anew after a refusal gets its own answer, though the refusal is not confirmed yet") {
+  Triggers t(1);
+  std::string word = "full";
+  t.world.host[0]->react = [&](const std::string&) { return Reaction{Kind::reply, word}; };
+  t.broker.withholds_confirms = true;
+  t.broker.send("a", "bin-record", "x", {{"allow", std::int64_t{300}}});
+  REQUIRE(t.answered("a"));
+  CHECK(word_of(t.broker.held["c-a"][0]) == "BUSY");
+  word = "data";
+  t.broker.send("a", "bin-record", "x");
+  REQUIRE(t.answered("a", 2));
+  CHECK(t.world.counters.value("amqp.down") == 0);  // on this channel, not by a redelivery on the next one
+  CHECK(word_of(t.broker.held["c-a"][1]) == "OK");
+  CHECK(t.world.host[0]->runs["x"] == 1);
+}
+
+// Failure found in review: told to drain while its channel was being set up, the front began to consume.
+TEST_CASE("told to drain before its channel is up, the front takes no calls") {
+  Triggers t(1);
+  t.broker.send("a", "bin-record", "x");
+  t.front->drain();
+  REQUIRE(t.world.turn_until([&] { return t.world.counters.value("amqp.down") == 1; }, 200));
+  for (int i = 0; i < 20; ++i) t.world.turn();
+  CHECK(t.world.host[0]->execs == 0);
+  CHECK(t.broker.queue.size() == 1);
+  CHECK(t.front->done());
+}
+
 TEST_CASE("a broker without the queue, or one that falls silent, is reached anew") {
   Triggers t(1);
   const bool silent = GENERATE(true, false);
