--- a/tests/lotusyard/triggers_test.cpp
+++ b/tests/lotusyard/triggers_test.cpp
@@ -137,8 +137,8 @@
   CHECK(t.world.host[0]->execs == 1);
 }
 
-// Failure found in review: the answer to a call that was sent anew was held back while the refusal before it was
-// not confirmed, and came only by a redelivery over the next connection.
+// Failure found in review: the answer to a call that was sent anew was held back while the refusal before it
+// was not confirmed, and came only by a redelivery over the next connection.
 TEST_CASE("a call sent anew after a refusal gets its own answer, though the refusal is not confirmed yet") {
   Triggers t(1);
   std::string word = "full";
