Read whole lists of hosts of any size row by row, from the change log and from the configuration

Cause: LineCutter::longest ended the connection at a line of 1 MiB, about 7,000 hosts, and the list was asked for again for ever. A configuration that names the hosts was read into a document several times its size.

MembershipEventReader is a callback of the JSON library's own parser: each row becomes a Member and leaves the document at once. A line may take a quarter of the memory limit; a row over 64 KiB makes its event malformed; half a line changes nothing. Test: 20,000 hosts in one line, cut off half-way the first time; without the change it is never read.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -178,15 +178,20 @@
 
 }  // namespace
 
-nlohmann::json read_json_file(const std::string& path) {
+ConfigFile read_config_file(const std::string& path) {
   std::ifstream in(path);
   if (!in) fault(path, "cannot be read");
-  auto read = json::parse(in, nullptr, false);
-  if (!read.is_object()) fault(path, "holds no JSON object");
-  return read;
+  MembershipEventReader events({"known", "results"});
+  const auto callback = [&events](int depth, json::parse_event_t event, json& parsed) {
+    return events(depth, event, parsed);
+  };
+  auto document = json::parse(in, callback, false);
+  if (!document.is_object()) fault(path, "holds no JSON object");
+  return {std::move(document), events.take_events()};
 }
 
-Config read_config(const json& file, const std::string& name, const std::string& listen) {
+Config read_config(const ConfigFile& config_file, const std::string& name, const std::string& listen) {
+  const json& file = config_file.document;
   Config out;
   out.name = key(file, "name").is_string() ? text(key(file, "name")) : name;
   if (!key(file, "amqp").is_null()) out.amqp = read_amqp(key(file, "amqp"));
@@ -205,7 +210,9 @@
     if (!key(known, "seq").is_number_unsigned()) fault("known.seq", "a whole number is needed");
     if (!key(known, "results").is_array()) fault("known.results", "an array is needed");
     out.known_seq = large(key(known, "seq"));
-    out.known_events = key(known, "results");
+    out.known_events = config_file.known_events;
+    // What is left of the list are events that are no objects.
+    if (!key(known, "results").empty()) out.known_events.push_back({{}, true, true, {}});
   }
   const json& env = object(file, "settings");
   check_kinds(env);
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -6,8 +6,10 @@
 #include <optional>
 #include <stdexcept>
 #include <string>
+#include <utility>
 #include <vector>
 
+#include "config/membership_events.h"
 #include "robinfold/policy.h"
 
 namespace lotusyard::config {
@@ -38,15 +40,25 @@
   std::uint64_t seed = 0;
   std::size_t memory_mb = 192, sockets = 1024;
   std::uint64_t known_seq = 0;
-  nlohmann::json known_events = nlohmann::json::array();
+  std::vector<MembershipEvent> known_events;
   robinfold::Settings settings;
   robinfold::Millis connection_idle{15000};
   std::size_t attempts_a_link = 32;
   std::vector<std::string> report_fields;
 };
 
-// `listen` and `name` come from the environment where the file has none.
-Config read_config(const nlohmann::json& file, const std::string& name, const std::string& listen);
-nlohmann::json read_json_file(const std::string& path);  // throws ConfigError
+/// A configuration file as it was parsed. The events of `known` stand apart, as a fleet's list of hosts is
+/// many times as large in a document.
+struct ConfigFile {
+  ConfigFile(nlohmann::json document_, std::vector<MembershipEvent> known_events_ = {})
+      : document(std::move(document_)), known_events(std::move(known_events_)) {}
+  nlohmann::json document;
+  std::vector<MembershipEvent> known_events;
+};
+
+/// `listen` and `name` come from the environment where the file has none. Throws ConfigError.
+Config read_config(const ConfigFile& file, const std::string& name, const std::string& listen);
+/// Memory: that of the hosts that the file names, and of one row of them. Throws ConfigError.
+ConfigFile read_config_file(const std::string& path);
 
 }  // namespace lotusyard::config
--- /dev/null
+++ b/src/config/membership_events.cpp
@@ -0,0 +1,116 @@
+#include "config/membership_events.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "config/json_read.h"
+
+namespace lotusyard::config {
+namespace {
+
+using core::WorkerState;
+using ParseEvent = nlohmann::json::parse_event_t;
+
+constexpr std::size_t kMaxRowBytes = 64 * 1024;
+constexpr std::size_t kFleetDepth = 1, kMembersDepth = 2, kRowDepth = 3;  // below that of the event
+
+WorkerState state_of(const std::string& phase) {
+  if (phase == "ready") return WorkerState::ready;
+  if (phase == "gone") return WorkerState::gone;
+  return WorkerState::draining;  // unknown: nothing new may go there
+}
+
+// Bytes of names and texts, and a few for each value.
+std::size_t bytes_of(const json& value) {
+  constexpr std::size_t kValueBytes = 4;
+  if (value.is_string()) return kValueBytes + value.get_ref<const std::string&>().size();
+  std::size_t sum = kValueBytes;
+  if (value.is_array()) {
+    for (const auto& item : value) sum += bytes_of(item);
+  }
+  if (value.is_object()) {
+    for (const auto& [name, item] : value.items()) sum += name.size() + bytes_of(item);
+  }
+  return sum;
+}
+
+core::Member read_member(const json& row) {
+  core::Member member;
+  member.entry.worker = text(key(row, "id"));
+  member.address = text(key(row, "host_port"));
+  member.entry.zone = text(key(row, "locality"));
+  member.entry.kind = text(key(row, "flavor"));
+  member.entry.cell = whole(key(row, "cell"));
+  member.entry.weight = number(key(row, "size"), 1);
+  member.entry.started = Millis(number(key(row, "up_since_ms")));
+  member.entry.state = state_of(text(key(row, "phase")));
+  return member;
+}
+
+}  // namespace
+
+bool MembershipEventReader::inside_events() const {
+  if (keys_.size() <= path_.size()) return path_.empty();
+  return std::equal(path_.begin(), path_.end(), keys_.begin() + 1);
+}
+
+bool MembershipEventReader::inside_members(std::size_t depth) const {
+  const std::size_t base = event_depth();
+  return depth == base + kRowDepth && keys_.size() > base + kMembersDepth &&
+         keys_[base + kFleetDepth] == "fleet" && keys_[base + kMembersDepth] == "members";
+}
+
+bool MembershipEventReader::operator()(int depth, ParseEvent event, json& parsed) {
+  const auto level = static_cast<std::size_t>(depth);
+  if (event == ParseEvent::key) {
+    keys_.resize(level + 1);
+    keys_[level] = parsed.get_ref<const std::string&>();
+    return true;
+  }
+  if (event != ParseEvent::object_end || level < event_depth() || !inside_events()) return true;
+  if (level == event_depth()) {
+    take_event(parsed);
+    return false;
+  }
+  if (!inside_members(level)) return true;
+  take_row(parsed);
+  return false;
+}
+
+void MembershipEventReader::take_row(const json& row) {
+  auto member = read_member(row);
+  // An event passed over for one row would lose a host for good: all of it is asked for again.
+  const bool usable = !member.entry.worker.empty() && !text(key(row, "phase")).empty();
+  if (!usable || bytes_of(row) > kMaxRowBytes) {
+    current_.malformed = true;
+    return;
+  }
+  current_.list.members.push_back(std::move(member));
+}
+
+void MembershipEventReader::take_event(const json& event) {
+  MembershipEvent read = std::exchange(current_, MembershipEvent());
+  if (key(event, "seq").is_number_unsigned()) read.seq = large(key(event, "seq"));
+  const json& fleet = key(event, "fleet");
+  read.has_members = event.contains("fleet");
+  read.list.complete = flag(key(fleet, "complete"));
+  const json& rest = key(fleet, "members");
+  // What is left of the list are rows that are no objects.
+  if (read.has_members && (!rest.is_array() || !rest.empty())) read.malformed = true;
+  events_.push_back(std::move(read));
+}
+
+MembershipLine read_membership_line(const std::string& line) {
+  MembershipEventReader reader({});
+  const auto callback = [&reader](int depth, ParseEvent event, json& parsed) {
+    return reader(depth, event, parsed);
+  };
+  const json rest = json::parse(line, callback, false);
+  MembershipLine out;
+  if (rest.is_number_unsigned()) out.number = rest.get<std::uint64_t>();
+  auto events = reader.take_events();
+  if (!rest.is_discarded() && events.size() == 1) out.event = std::move(events.front());
+  return out;
+}
+
+}  // namespace lotusyard::config
--- a/src/feed/feed.cpp
+++ b/src/feed/feed.cpp
@@ -2,45 +2,24 @@
 
 #include <algorithm>
 
-#include "config/json_read.h"
+#include "config/membership_events.h"
 
 namespace lotusyard::feed {
 namespace {
 
-using config::key;
-using config::number;
-using config::text;
 using core::Millis;
-using core::WorkerState;
 
 constexpr Millis kConnectMost{500};
 constexpr Millis kQuietMost{1600};  // a line comes every second: a log quiet for longer has stopped
 constexpr Millis kPauseFirst{50}, kPauseMost{500};  // events count as told after 7 s whether they came or not
 
-core::Member read_member(const nlohmann::json& row) {
-  core::Member read;
-  read.entry.worker = text(key(row, "id"));
-  read.address = text(key(row, "host_port"));
-  read.entry.zone = text(key(row, "locality"));
-  read.entry.kind = text(key(row, "flavor"));
-  read.entry.cell = config::whole(key(row, "cell"));
-  read.entry.weight = number(key(row, "size"), 1);
-  read.entry.started = Millis(number(key(row, "up_since_ms")));
-  const std::string state = text(key(row, "phase"));
-  // An unknown state is taken as one in which nothing new may go there.
-  read.entry.state = state == "ready"  ? WorkerState::ready
-                     : state == "gone" ? WorkerState::gone
-                                       : WorkerState::draining;
-  return read;
-}
-
 }  // namespace
 
 bool LineCutter::take(std::string_view bytes, std::vector<std::string>& out) {
   while (!bytes.empty()) {
     const auto end = bytes.find('\n');
     line_.append(bytes.substr(0, end));
-    if (line_.size() > longest) return false;
+    if (line_.size() > max_line_) return false;
     if (end == std::string_view::npos) break;
     bytes.remove_prefix(end + 1);
     if (!line_.empty() && line_.back() == '\r') line_.pop_back();
@@ -51,39 +30,27 @@
 }
 
 Log::Read Log::line(const std::string& line, core::MemberList& out) {
-  const auto read = nlohmann::json::parse(line, nullptr, false);
-  if (read.is_number_unsigned()) return read.get<std::uint64_t>() > last_ ? Read::gap : Read::nothing;
-  return event(read, out);
+  auto read = config::read_membership_line(line);
+  if (read.number) return *read.number > last_ ? Read::gap : Read::nothing;
+  return read.event ? event(std::move(*read.event), out) : Read::malformed;
 }
 
-Log::Read Log::event(const nlohmann::json& event, core::MemberList& out) {
-  if (!key(event, "seq").is_number_unsigned()) return Read::malformed;
-  const std::uint64_t seq = config::large(key(event, "seq"));
+Log::Read Log::event(config::MembershipEvent&& event, core::MemberList& out) {
+  if (!event.seq) return Read::malformed;
+  const std::uint64_t seq = *event.seq;
   if (seq <= last_) return Read::nothing;
-  const auto& list = key(event, "fleet");
-  out.complete = config::flag(key(list, "complete"));
-  if (seq != last_ + 1 && !out.complete) return Read::gap;  // a whole list makes up for all before it
-  if (!event.contains("fleet")) {                           // a kind of event that is none of ours
-    last_ = seq;
-    return Read::nothing;
-  }
-  const auto& rows = key(list, "members");
-  if (!rows.is_array()) return Read::malformed;
-  out.members.clear();
-  for (const auto& row : rows) {
-    auto member = read_member(row);
-    // Danger: an event passed over for one row would lose a host for good. All of it is asked for again.
-    if (member.entry.worker.empty() || text(key(row, "phase")).empty()) return Read::malformed;
-    out.members.push_back(std::move(member));
-  }
+  if (seq != last_ + 1 && !event.list.complete) return Read::gap;  // a whole list makes up for all before it
+  if (event.malformed) return Read::malformed;
   last_ = seq;
+  if (!event.has_members) return Read::nothing;  // a kind of event that is none of ours
+  out = std::move(event.list);
   return Read::news;
 }
 
 class Feed::Connection final : public net::Stream {
  public:
   Connection(Feed& feed, net::Socket socket)
-      : Stream(feed.loop_, feed.pool_, std::move(socket), true), feed_(feed) {
+      : Stream(feed.loop_, feed.pool_, std::move(socket), true), feed_(feed), cutter_(feed.max_event_) {
     expect(kConnectMost);
   }
   ~Connection() override { feed_.loop_.cancel(quiet_); }
@@ -135,13 +102,14 @@
 };
 
 Feed::Feed(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, std::string address, Log log,
-           Told told)
+           Told told, std::size_t max_event)
     : loop_(loop),
       pool_(pool),
       counters_(counters),
       address_(std::move(address)),
       log_(log),
-      told_(std::move(told)) {}
+      told_(std::move(told)),
+      max_event_(max_event) {}
 
 Feed::~Feed() { loop_.cancel(timer_); }
 
--- a/src/feed/feed.h
+++ b/src/feed/feed.h
@@ -4,10 +4,10 @@
 
 #include <functional>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <string>
 #include <vector>
 
+#include "config/membership_events.h"
 #include "core/counters.h"
 #include "core/member.h"
 #include "net/loop.h"
@@ -15,13 +15,17 @@
 
 namespace lotusyard::feed {
 
-// Lines in whatever pieces they come; false once a line is longer than any event may be.
+constexpr std::size_t kDefaultMaxEvent = 1U << 20;  // bytes of a line of the change log
+
+/// Cuts bytes into lines, in whatever pieces they come.
 class LineCutter {
  public:
-  static constexpr std::size_t longest = 1U << 20;
+  explicit LineCutter(std::size_t max_line = kDefaultMaxEvent) : max_line_(max_line) {}
+  /// False once a line is longer than `max_line` bytes.
   bool take(std::string_view bytes, std::vector<std::string>& out);
 
  private:
+  std::size_t max_line_;
   std::string line_;
 };
 
@@ -31,7 +35,7 @@
   enum class Read { news, nothing, gap, malformed };
   explicit Log(std::uint64_t last = 0) : last_(last) {}
   Read line(const std::string& line, core::MemberList& out);
-  Read event(const nlohmann::json& event, core::MemberList& out);
+  Read event(config::MembershipEvent&& event, core::MemberList& out);
   std::uint64_t last() const { return last_; }
   void skip_to(std::uint64_t seq) { last_ = std::max(last_, seq); }
 
@@ -42,8 +46,9 @@
 class Feed {
  public:
   using Told = std::function<void(const core::MemberList&)>;
+  /// A line of more than `max_event` bytes ends the connection; a whole list of hosts is one line.
   Feed(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, std::string address, Log log,
-       Told told);
+       Told told, std::size_t max_event = kDefaultMaxEvent);
   ~Feed();
   void start() { connect(); }
   // The log goes on at another address, under the same numbers.
@@ -57,6 +62,7 @@
   std::string address_;
   Log log_;
   Told told_;
+  std::size_t max_event_;
   std::shared_ptr<Connection> connection_;
   net::Loop::TimerId timer_{};
   core::Millis pause_{0};
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -79,7 +79,7 @@
 }
 
 config::Config read_file(const std::string& file) {
-  return config::read_config(config::read_json_file(file), environment("BALANCER_NAME"),
+  return config::read_config(config::read_config_file(file), environment("BALANCER_NAME"),
                              environment("BALANCER_LISTEN"));
 }
 
@@ -88,7 +88,7 @@
   Wake wake(loop);  // first: no signal may end the program while it starts
   if (file.empty())
     throw config::ConfigError("configuration: BALANCER_CONFIG: not set, and no file was named");
-  const auto config = read_file(file);
+  auto config = read_file(file);
   core::Counters counters;
   core::LogWriter log_out(STDOUT_FILENO, counters), log_errors(STDERR_FILENO, counters);
   // A quarter of the memory may wait unwritten, a quarter be held as bodies of open calls.
@@ -117,9 +117,9 @@
   };
   feed::Log log;
   bool all_read = true;
-  for (const auto& event : config.known_events) {
+  for (auto& event : config.known_events) {
     core::MemberList list;
-    const auto read = log.event(event, list);
+    const auto read = log.event(std::move(event), list);
     all_read = all_read && (read == feed::Log::Read::news || read == feed::Log::Read::nothing);
     if (!all_read) break;  // the change log tells the rest again
     if (read == feed::Log::Read::news)
@@ -144,7 +144,7 @@
     std::string fault;
     if (!host_file->start(fault)) throw config::ConfigError("configuration: xds.file: " + fault);
   } else {
-    feed.emplace(loop, pool, counters, config.changelog, log, told_later);
+    feed.emplace(loop, pool, counters, config.changelog, log, told_later, quarter);
     feed->start();
   }
 
--- a/tests/lotusyard/feed_test.cpp
+++ b/tests/lotusyard/feed_test.cpp
@@ -93,5 +93,56 @@
   CHECK(counters.value("feed.malformed_or_gap") == 1);
 }
 
+std::string row_of(std::size_t host) {
+  return R"({"id":"s-)" + std::to_string(host) +
+         R"(","host_port":"127.0.0.1:9","locality":"east","phase":"ready"})";
+}
+
+std::string whole_list(std::size_t hosts) {
+  std::string text = R"({"seq":7,"fleet":{"revision":1,"complete":true,"members":[)";
+  for (std::size_t i = 0; i < hosts; ++i) text += (i > 0 ? "," : "") + row_of(i);
+  return text + "]}}\n";
+}
+
+// Failure found in review: a list of hosts over 1 MiB was never read, and asked for again for ever.
+TEST_CASE("a whole list of many hosts is read; half of it changes nothing") {
+  constexpr std::size_t kHosts = 20000;
+  net::Loop loop;
+  net::BufferPool pool(256);
+  core::Counters counters;
+  StandInLog log(loop, pool);
+  log.events = 0;
+  log.breaks_off = false;
+  const std::string text = whole_list(kHosts);
+  REQUIRE(text.size() > feed::kDefaultMaxEvent);
+  log.replies = {text.substr(0, text.size() / 2), text};
+  std::vector<core::MemberList> told;
+  feed::Feed feed(
+      loop, pool, counters, log.server.address(), feed::Log(0),
+      [&](const core::MemberList& list) { told.push_back(list); }, 16U << 20);
+  feed.start();
+  for (int i = 0; i < 5000 && told.empty(); ++i) loop.turn(loop.now() + Millis(20), [] {});
+  REQUIRE(told.size() == 1);
+  CHECK(log.asked == std::vector<std::uint64_t>{0, 0});
+  CHECK(told[0].complete);
+  REQUIRE(told[0].members.size() == kHosts);
+  CHECK(told[0].members.back().entry.worker == "s-" + std::to_string(kHosts - 1));
+}
+
+TEST_CASE("a row of a list over 64 KiB makes its event malformed, and no other") {
+  const auto list = [](const std::string& row) {
+    return R"({"seq":1,"fleet":{"complete":true,"members":[)" + row_of(1) + "," + row + "]}}";
+  };
+  const std::string large = R"({"id":"s","phase":"ready","note":")" + std::string(70000, 'x') + "\"}";
+  const std::string fits = R"({"id":"s","phase":"ready","note":")" + std::string(60000, 'x') + "\"}";
+  feed::Log log;
+  core::MemberList out;
+  CHECK(log.line(list(large), out) == feed::Log::Read::malformed);
+  CHECK(log.last() == 0);
+  CHECK(log.line(list(fits), out) == feed::Log::Read::news);
+  CHECK(out.members.size() == 2);
+  CHECK(log.line(list(fits).substr(0, 100), out) == feed::Log::Read::malformed);
+}
+
 }  // namespace
 }  // namespace lotusyard::test
--- a/tests/lotusyard/helper.h
+++ b/tests/lotusyard/helper.h
@@ -126,6 +126,7 @@
         REQUIRE(line.compare(0, 6, "since ") == 0);
         log_.asked.push_back(std::stoull(line.substr(6)));
         std::string text;
+        if (log_.asked.size() <= log_.replies.size()) text = log_.replies[log_.asked.size() - 1];
         for (std::size_t i = log_.asked.back(); i < log_.events; ++i) {
           const std::string number = std::to_string(i + 1);
           const bool spoilt = log_.spoilt_once == i + 1 && log_.asked.size() == 1;
@@ -148,6 +149,7 @@
   std::vector<std::uint64_t> asked;
   std::size_t spoilt_once = 0;  // the number of an event whose row has no id, the first time
   bool stays_open = false, breaks_off = true;
+  std::vector<std::string> replies;  // to each `since` in turn, in front of the events
 };
 
 // What a stand-in host does with one exec. `stall`: half an answer, and then nothing more on that connection.
--- a/tests/lotusyard/process_test.cpp
+++ b/tests/lotusyard/process_test.cpp
@@ -171,6 +171,20 @@
   CHECK(log.asked.front() == 1);
 }
 
+TEST_CASE("a configuration that names many hosts is read, and a host among them is used") {
+  Site site(1000);
+  auto& members = site.config["known"]["results"][0]["fleet"]["members"];
+  for (int i = 1; i <= 5000; ++i) {
+    members.push_back(
+        {{"id", "gone" + std::to_string(i)}, {"host_port", "127.0.0.1:9"}, {"phase", "draining"}});
+  }
+  Client client(site, site.start());
+  client.call("1", 900);
+  REQUIRE(site.turn_until([&] { return !client.got.empty(); }));
+  CHECK(client.got[0].at(1) == "OK");
+  CHECK(site.program->log().find("known:") == std::string::npos);
+}
+
 // Failure found in review: a log that nobody read stopped the event loop, and with it all calls.
 TEST_CASE("a log that nobody reads stops no call; the lines dropped are counted") {
   Site site(1000);
