Find the hosts at an address by an index instead of comparing all with each other

Cause: Fleet::members looked through all hosts for each row, so a whole list cost the square of its length: a process with 100,000 hosts in its configuration was not ready after 31 s.

--- a/src/hosts/fleet.cpp
+++ b/src/hosts/fleet.cpp
@@ -30,6 +30,7 @@
     }
     // Hosts that are gone are forgotten with their last connection, or every deploy would leave some behind.
     const bool forgotten = host.member.entry.state == WorkerState::gone && host.links.empty();
+    if (forgotten) index_address(i->first, host.member.address, {});
     i = forgotten ? hosts_.erase(i) : std::next(i);
   }
 }
@@ -43,18 +44,28 @@
   if (restarted) {
     for (const auto& link : host.links) link->replace();
   }
+  if (member.address != host.member.address) index_address(id, host.member.address, member.address);
   host.member = member;
   if (member.entry.state != WorkerState::ready) {
     for (const auto& link : host.links) link->drain();
     return;
   }
   // A new host may stand at the address of one that is gone, and be taken for it.
-  for (auto& [other_id, other] : hosts_) {
-    if (other_id == id || other.member.address != member.address) continue;
-    for (const auto& link : other.links) link->replace();
+  const auto [first, last] = ids_by_address_.equal_range(member.address);
+  for (auto other = first; other != last; ++other) {
+    if (other->second == id) continue;
+    for (const auto& link : hosts_.at(other->second).links) link->replace();
   }
 }
 
+// An empty address is not kept.
+void Fleet::index_address(const std::string& id, const std::string& before, const std::string& now) {
+  const auto [first, last] = ids_by_address_.equal_range(before);
+  const auto found = std::find_if(first, last, [&](const auto& entry) { return entry.second == id; });
+  if (found != last) ids_by_address_.erase(found);
+  if (!now.empty()) ids_by_address_.emplace(now, id);
+}
+
 Fleet::Host* Fleet::ready_host(const std::string& id) {
   const auto found = hosts_.find(id);
   if (found != hosts_.end() && found->second.member.entry.state == WorkerState::ready) return &found->second;
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "core/counters.h"
@@ -26,7 +27,7 @@
   ~Fleet() override;
   void attach(core::Dispatcher& dispatcher) { dispatcher_ = &dispatcher; }
 
-  /// Takes a whole list or a change of it. Cost: rows x hosts (each new address is looked for at all others).
+  /// Takes a whole list or a change of it. Cost: a walk of all hosts, and constant for each row.
   void members(const core::MemberList& list);
 
   void exec(const core::Attempt& attempt, const std::string& host, const core::Call& call,
@@ -47,6 +48,7 @@
   Limits limits_;
   core::Dispatcher* dispatcher_ = nullptr;
   std::map<std::string, Host> hosts_;
+  std::unordered_multimap<std::string, std::string> ids_by_address_;
   std::map<core::Attempt, Link*> attempts_;
   std::size_t links_ = 0;
   std::uint64_t last_tag_ = 0;
@@ -58,6 +60,7 @@
   bool take_load_budget() override;
 
   void take_member(const core::Member& member);
+  void index_address(const std::string& id, const std::string& before, const std::string& now);
   Host* ready_host(const std::string& id);
   Link* link_for(Host& host, const std::string& ref);
   Link* link_to_ready(const std::string& id, const std::string& ref);
--- a/tests/lotusyard/links_test.cpp
+++ b/tests/lotusyard/links_test.cpp
@@ -153,6 +153,36 @@
   CHECK(world.counters.value("hosts.no_link") == 1);  // one to the new process is all that may be
 }
 
+TEST_CASE("a new host at the address of one that is gone is reached over a connection of its own") {
+  World world(1);
+  world.host[0]->react = [](const std::string& body) {
+    return body == "000000000000000a" ? Reaction{Kind::silence, ""} : Reaction();
+  };
+  world.fleet.exec({1, 0}, "h0", call_of("000000000000000a"), Millis(5000));
+  REQUIRE(world.turn_until([&] { return world.host[0]->execs == 1; }, 20000));
+  const auto tell = [&](const std::string& id, robinfold::WorkerState state) {
+    core::MemberList change;
+    change.members.emplace_back();
+    change.members[0].entry.worker = id;
+    change.members[0].entry.state = state;
+    change.members[0].address = world.host[0]->server.address();
+    world.fleet.members(change);
+  };
+  tell("h1", robinfold::WorkerState::ready);
+  world.fleet.exec({2, 0}, "h1", call_of("000000000000000b"), Millis(5000));
+  REQUIRE(world.turn_until([&] { return world.counters.value("hosts.answers.data") == 1; }, 20000));
+  CHECK(world.counters.value("hosts.links_opened") == 2);
+  world.fleet.exec({3, 0}, "h0", call_of("000000000000000c"), Millis(5000));
+  REQUIRE(world.turn_until([&] { return world.counters.value("hosts.answers.data") == 2; }, 20000));
+  CHECK(world.counters.value("hosts.links_opened") == 3);  // nothing new goes over the one to the former host
+  tell("h0", robinfold::WorkerState::gone);
+  tell("h1", robinfold::WorkerState::gone);
+  tell("h2", robinfold::WorkerState::ready);
+  world.fleet.exec({4, 0}, "h2", call_of("000000000000000d"), Millis(5000));
+  REQUIRE(world.turn_until([&] { return world.counters.value("hosts.answers.data") == 3; }, 20000));
+  CHECK(world.counters.value("hosts.links_opened") == 4);
+}
+
 // Failure found in review: an order was counted when it was decided, and written after calls had left the
 // window.
 TEST_CASE("a load order that waits for its connection is not written past the load budget") {
