Split the program's main function into an Invoker of parts and a SignalPipe

Invoker owns the parts; each step of the start, the reload and the shutdown is a function of its own; SignalPipe turns signals into events. Behaviour is unchanged.

--- /dev/null
+++ b/src/app/invoker.cpp
@@ -0,0 +1,226 @@
+#include "app/invoker.h"
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <stdexcept>
+#include <utility>
+
+namespace lotusyard::app {
+namespace {
+
+using core::Millis;
+
+constexpr Millis kStatusInterval{5000};      // of the log's status lines
+constexpr Millis kShutdownInterval{20};      // of looks at whether the end has come
+constexpr std::size_t kOwnDescriptors = 20;  // standard streams, the listener, the change log and the like
+
+std::string environment(const char* name) {
+  const char* const value = std::getenv(name);
+  return value == nullptr ? std::string() : value;
+}
+
+config::Config read_file(const std::string& path) {
+  if (path.empty()) {
+    throw config::ConfigError("configuration: BALANCER_CONFIG: not set, and no file was named");
+  }
+  return config::read_config(config::read_config_file(path), environment("BALANCER_NAME"),
+                             environment("BALANCER_LISTEN"));
+}
+
+// A third of the descriptors each for clients and for hosts; the last third for connections that have not
+// asked yet, less what the program itself holds.
+hosts::Limits host_limits(const config::Config& config) {
+  hosts::Limits limits;
+  limits.connect_timeout = config.settings.connect_timeout;
+  limits.idle = config.connection_idle;
+  limits.order_timeout = config.settings.order_timeout;
+  limits.probes = config.settings.probes;
+  limits.drain_grace = config.settings.drain_grace;
+  limits.attempts_a_link = config.attempts_a_link;
+  limits.links = config.sockets / 3;
+  limits.report_fields = config.report_fields;
+  return limits;
+}
+
+resp::Front::Limits front_limits(const config::Config& config, std::size_t body_bytes) {
+  resp::Front::Limits limits;
+  limits.clients = config.sockets / 3;
+  limits.newcomers = std::max<std::size_t>(config.sockets / 3, 2 * kOwnDescriptors) - kOwnDescriptors;
+  limits.body_bytes = body_bytes;
+  return limits;
+}
+
+amqp::Broker broker_of(const config::AmqpConfig& from) {
+  amqp::Broker broker;
+  broker.address = from.broker;
+  broker.user = from.user;
+  broker.password = from.password;
+  broker.vhost = from.vhost;
+  broker.queues = from.queues;
+  broker.prefetch = from.prefetch;
+  broker.heartbeat_s = from.heartbeat_s;
+  broker.longest_body = from.body_kb << 10;
+  return broker;
+}
+
+Millis longest_deadline(const core::Settings& settings) {
+  Millis longest{0};
+  for (const auto& c : settings.classes) longest = std::max(longest, c.deadline);
+  return longest;
+}
+
+}  // namespace
+
+// The signals first: none may end the program while it starts.
+Invoker::Invoker(std::string config_file)
+    : config_file_(std::move(config_file)),
+      signals_(loop_),
+      config_(read_file(config_file_)),
+      log_(STDOUT_FILENO, counters_),
+      errors_(STDERR_FILENO, counters_),
+      pool_(memory_quarter() / net::BufferPool::block_size),
+      fleet_(loop_, pool_, counters_, host_limits(config_)),
+      dispatcher_(
+          config_.settings, [this] { return loop_.now(); }, fleet_, counters_),
+      shutdown_(longest_deadline(config_.settings)),
+      front_(loop_, pool_, dispatcher_, counters_, front_limits(config_, memory_quarter())) {
+  fleet_.attach(dispatcher_);
+  start_membership();
+  start_listening();
+  start_triggers();
+  next_status_ = loop_.now() + kStatusInterval;
+}
+
+void Invoker::update_members(const core::MemberList& list, core::ListKind kind) {
+  fleet_.members(list);  // first: what the module sends next needs the addresses
+  core::HostList entries{kind, {}};
+  for (const auto& member : list.members) entries.entries.push_back(member.entry);
+  dispatcher_.members(std::move(entries));
+}
+
+feed::Log Invoker::take_known_events() {
+  feed::Log log;
+  for (auto& event : std::exchange(config_.known_events, {})) {
+    core::MemberList list;
+    const auto read = log.event(std::move(event), list);
+    if (read == feed::Log::Read::news) {
+      update_members(list, list.complete ? core::ListKind::cached : core::ListKind::delta);
+    } else if (read != feed::Log::Read::nothing) {
+      counters_.add("feed.known_unread");
+      errors_.write_line("lotusyard: known: an event cannot be read; asking the change log from " +
+                         std::to_string(log.last()));
+      return log;  // the change log tells the rest again
+    }
+  }
+  log.skip_to(config_.known_seq);
+  return log;
+}
+
+void Invoker::start_membership() {
+  const feed::Log log = take_known_events();
+  const auto on_update = [this](const core::MemberList& list) {
+    update_members(list, list.complete ? core::ListKind::full : core::ListKind::delta);
+  };
+  if (!config_.xds) {
+    feed_.emplace(loop_, pool_, counters_, config_.changelog, log, on_update, memory_quarter());
+    feed_->start();
+    return;
+  }
+  const auto on_rejected = [this](const std::string& fault) {
+    errors_.write_line("lotusyard: xds.file: " + fault);
+  };
+  host_file_.emplace(loop_, counters_, config_.xds->file, config_.xds->cluster, config_.xds->reread,
+                     on_update, on_rejected);
+  std::string fault;
+  if (!host_file_->start(fault)) throw config::ConfigError("configuration: xds.file: " + fault);
+}
+
+void Invoker::start_listening() {
+  if (config_.listen.empty()) return;
+  if (!front_.listen(config_.listen)) {
+    throw config::ConfigError("configuration: listen: cannot listen on " + config_.listen);
+  }
+  log_.write_line("lotusyard " + config_.name + " listens on " + front_.address());
+}
+
+void Invoker::start_triggers() {
+  if (!config_.amqp) return;
+  const amqp::Front::Limits limits{config_.amqp->open_calls, config_.amqp->remembered,
+                                   config_.amqp->remembered_mb << 20};
+  triggers_.emplace(loop_, pool_, dispatcher_, counters_, config_.settings, broker_of(*config_.amqp), limits);
+  triggers_->start();
+  log_.write_line("lotusyard " + config_.name + " takes triggers from " + config_.amqp->broker);
+}
+
+// The file is read whole and checked; only then is the list of hosts followed to where it says.
+void Invoker::reload() {
+  try {
+    const auto next = read_file(config_file_);
+    if (next.xds.has_value() != config_.xds.has_value()) {
+      throw config::ConfigError("configuration: xds: can be added or removed at a start only");
+    }
+    std::string fault;
+    if (host_file_ && !host_file_->move(next.xds->file, next.xds->cluster, fault)) {
+      throw config::ConfigError("configuration: xds.file: " + fault);
+    }
+    if (feed_) feed_->move(next.changelog);
+    counters_.add("config.reread");
+  } catch (const std::exception& fault) {
+    counters_.add("config.faulty");  // the old one goes on
+    errors_.write_line(std::string("lotusyard: ") + fault.what());
+  }
+}
+
+void Invoker::run() {
+  while (true) {
+    Millis due = std::min(dispatcher_.next_due(), next_status_);
+    if (loop_.now() >= next_status_) log_status();
+    if (shutdown_.begun()) due = std::min(due, loop_.now() + kShutdownInterval);
+    loop_.turn(due, [this] { dispatcher_.tick(); });
+    log_.flush();
+    errors_.flush();
+    const Signals signals = signals_.take();
+    if (signals.print_counters) log_counters();
+    if (signals.reload) reload();
+    const Millis now = loop_.now();
+    if (signals.terminate && !shutdown_.begun()) begin_shutdown(now);
+    if (shutdown_.begun() && shutdown_done(now)) break;
+  }
+  if (triggers_) triggers_->close();
+  // What is read in this last turn is answered too.
+  loop_.turn(loop_.now(), [this] { dispatcher_.end_all(); });
+  log_status();
+  log_counters();
+}
+
+void Invoker::begin_shutdown(Millis now) {
+  shutdown_.begin(now);
+  log_.write_line("lotusyard " + config_.name + " ends: " + std::to_string(dispatcher_.open()) +
+                  " calls open");
+  front_.drain();
+  if (triggers_) triggers_->drain();
+}
+
+// Carries out what is due by now; true once the program may end.
+bool Invoker::shutdown_done(Millis now) {
+  if (!shutdown_.listens(now)) front_.stop_listening();
+  if (shutdown_.answers_due(now)) dispatcher_.end_all();
+  const bool clients_served = front_.open_calls() == 0 && !front_.reading() && front_.written();
+  const bool triggers_served = !triggers_ || triggers_->done();
+  const bool all_served = clients_served && triggers_served;
+  return (all_served && !shutdown_.requests_come(now)) || shutdown_.over(now);
+}
+
+void Invoker::log_status() {
+  next_status_ = loop_.now() + kStatusInterval;
+  const std::string line = counters_.status(dispatcher_.tally());
+  if (!line.empty()) log_.write_line(line);
+}
+
+void Invoker::log_counters() {
+  for (const auto& line : counters_.lines()) log_.write_line(line);
+}
+
+}  // namespace lotusyard::app
