--- a/src/amqp/channel.h
+++ b/src/amqp/channel.h
@@ -15,7 +15,7 @@
   std::string address, user = "guest", password = "guest", vhost = "/";
   std::vector<std::string> queues;
   std::uint16_t prefetch = 32, heartbeat_s = 10;
-  std::size_t longest_body = 16 * 1024;
+  std::size_t longest_body = std::size_t{16} * 1024;
 };
 
 struct Delivery {
@@ -71,9 +71,9 @@
   void connected() override;
   void received(std::string_view bytes) override;
   void ended() override;
-  bool take(Frame&& frame);
+  bool take(Frame&& one);
   bool method(Reader& in, std::uint32_t id);
-  bool content(Frame&& frame);
+  bool content(Frame&& one);
   void content_done();
   void say(std::uint32_t id, std::uint16_t channel, const Writer& arguments);
   void consume_all();
--- a/src/amqp/front.cpp
+++ b/src/amqp/front.cpp
@@ -14,7 +14,7 @@
 constexpr Millis kPauseFirst{100}, kPauseMost{5000};  // between attempts to reach the broker
 constexpr Millis kResendAfter{200};
 constexpr std::size_t kAddressesKept = 8;
-constexpr std::uint64_t kLongestAllow = 3600 * 1000;
+constexpr std::uint64_t kLongestAllow = std::uint64_t{3600} * 1000;
 
 std::string text_of(const Table& headers, const std::string& name) {
   const auto found = headers.find(name);
--- a/src/amqp/wire.h
+++ b/src/amqp/wire.h
@@ -27,7 +27,7 @@
   void limit(std::size_t most_payload) { most_ = most_payload; }
 
  private:
-  std::size_t most_ = 128 * 1024;
+  std::size_t most_ = std::size_t{128} * 1024;
   std::string head_;  // until all seven bytes of a header are there
   Frame frame_;
   std::size_t left_ = 0;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -38,7 +38,7 @@
 std::string address(const json& from, const char* name, const std::string& otherwise) {
   const json& value = key(from, name);
   if (!value.is_null() && !value.is_string()) fault(name, "a text is needed");
-  const std::string read = value.is_string() ? value.get<std::string>() : otherwise;
+  std::string read = value.is_string() ? value.get<std::string>() : otherwise;
   if (!net::valid_address(read)) fault(name, "no numeric address with a port: '" + read + "'");
   return read;
 }
--- a/src/config/membership_events.cpp
+++ b/src/config/membership_events.cpp
@@ -11,7 +11,7 @@
 using core::WorkerState;
 using ParseEvent = nlohmann::json::parse_event_t;
 
-constexpr std::size_t kMaxRowBytes = 64 * 1024;
+constexpr std::size_t kMaxRowBytes = std::size_t{64} * 1024;
 constexpr std::size_t kFleetDepth = 1, kMembersDepth = 2, kRowDepth = 3;  // below that of the event
 
 WorkerState state_of(const std::string& phase) {
--- a/src/core/log_writer.cpp
+++ b/src/core/log_writer.cpp
@@ -10,7 +10,7 @@
 namespace lotusyard::core {
 namespace {
 
-constexpr std::size_t kMaxPending = 64 * 1024;
+constexpr std::size_t kMaxPending = std::size_t{64} * 1024;
 
 bool writable(int descriptor) {
   pollfd polled{descriptor, POLLOUT, 0};
--- a/src/hosts/fleet.h
+++ b/src/hosts/fleet.h
@@ -30,12 +30,12 @@
   /// Takes a whole list or a change of it. Cost: a walk of all hosts, and constant for each row.
   void members(const core::MemberList& list);
 
-  void exec(const core::Attempt& attempt, const std::string& host, const core::Call& call,
+  void exec(const core::Attempt& attempt, const std::string& id, const core::Call& call,
             Millis timeout) override;
   bool drop(const core::Attempt& attempt) override;
-  void probe(const std::string& host) override;
-  void ensure(const std::string& host, std::uint64_t function, int instances) override;
-  void release(const std::string& host, std::uint64_t function) override;
+  void probe(const std::string& id) override;
+  void ensure(const std::string& id, std::uint64_t function, int instances) override;
+  void release(const std::string& id, std::uint64_t function) override;
 
  private:
   struct Host {
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -19,7 +19,7 @@
 /// a peer that reads nothing must not end the connection that happens to write next.
 class BufferPool {
  public:
-  static constexpr std::size_t block_size = 16 * 1024;
+  static constexpr std::size_t block_size = std::size_t{16} * 1024;
   using Block = std::array<char, block_size>;
   struct GiveBack {
     BufferPool* pool;
--- a/src/policy.cpp
+++ b/src/policy.cpp
@@ -219,7 +219,7 @@
     return w.state == WorkerState::ready && open(w, w) && !silent(w) && now_ - w.doubted > kSilence;
   }
   bool serves(const Worker& w, int cls) const { return open(w, w.classes[slot(cls)]); }
-  static std::size_t slot(int cls) { return static_cast<std::size_t>(cls + 1); }  // 0: no known class
+  static std::size_t slot(int cls) { return 1 + static_cast<std::size_t>(cls); }  // 0: no known class
   // What a run takes at the worker, in unloaded runs: its own answers while they are fresh, else the fleet's.
   double stretch_of(const Worker& w) const {
     const double fleet = 1 + (fleet_stretch_ - 1) * fading(stretch_at_, kStretchTau);
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -11,7 +11,7 @@
 
 using net::field;
 
-constexpr std::uint64_t kLongestAllow = 3600 * 1000;
+constexpr std::uint64_t kLongestAllow = std::uint64_t{3600} * 1000;
 constexpr std::size_t kAcceptsATurn = 64;
 constexpr std::size_t kFaultsMost = 64;        // calls of one connection that were turned away unread
 constexpr std::size_t kUnreadMost = 1U << 20;  // answers that a client has not read
@@ -130,10 +130,12 @@
 }
 
 void Front::shed(const std::shared_ptr<Client>& client, const char* why) {
-  const std::shared_ptr<Client> kept = client;
   counters_.add(why);
+  // It leaves the list of clients at once, and `client` may be the list's own reference to it.
+  std::shared_ptr<Client> kept = client;
   kept->end_later();
   kept->flush();
+  kept.reset();
 }
 
 // A whole request has come: the connection takes a place among the clients, of the one longest unheard with
--- a/src/resp/parser.h
+++ b/src/resp/parser.h
@@ -12,7 +12,7 @@
 class Parser {
  public:
   // Only one word of a message may be long: its body.
-  static constexpr std::size_t most_words = 8, longest_word = 16 * 1024;
+  static constexpr std::size_t most_words = 8, longest_word = std::size_t{16} * 1024;
   static constexpr std::size_t longest_message = longest_word + 2048;
 
   // Takes all bytes; whole arrays are added to `out`. False once the stream cannot be understood any more.
--- a/src/simhost/wire.cpp
+++ b/src/simhost/wire.cpp
@@ -140,7 +140,7 @@
     return;
   }
   if (!instance.live) return;
-  const auto give = [&](Event event) { instance.policy.handle(now, event, out); };
+  const auto give = [&](const Event& event) { instance.policy.handle(now, event, out); };
   if (name == "Discovery") {
     event::List list;
     list.kind = list_kind(whole(at(m, 2)));
