--- a/tests/lotusyard/config_test.cpp
+++ b/tests/lotusyard/config_test.cpp
@@ -5,10 +5,14 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <catch2/catch.hpp>
 #include <cstdio>
 #include <fstream>
 
-#include "helper.h"
+#include "core/counters.h"
+#include "net/loop.h"
+#include "net/socket.h"
+#include "support/settings.h"
 #include "xds/hosts.h"
 
 namespace lotusyard::test {
--- a/tests/lotusyard/core_test.cpp
+++ b/tests/lotusyard/core_test.cpp
@@ -1,8 +1,11 @@
 // A request's life, under a clock and hosts that the test plays itself.
+#include <catch2/catch.hpp>
 #include <cmath>
 
+#include "core/dispatcher.h"
 #include "core/shutdown.h"
-#include "helper.h"
+#include "support/random.h"
+#include "support/settings.h"
 
 namespace lotusyard::test {
 namespace {
--- a/tests/lotusyard/feed_test.cpp
+++ b/tests/lotusyard/feed_test.cpp
@@ -1,7 +1,10 @@
 // The change log over connections that break.
 #include "feed/feed.h"
 
-#include "helper.h"
+#include <catch2/catch.hpp>
+
+#include "support/settings.h"
+#include "support/stand_in_log.h"
 
 namespace lotusyard::test {
 namespace {
--- a/tests/lotusyard/links_test.cpp
+++ b/tests/lotusyard/links_test.cpp
@@ -1,10 +1,12 @@
 // Connections to hosts: which attempt goes over which one, and when load orders are written.
+#include <catch2/catch.hpp>
+
 #include "core/load_budget.h"
-#include "helper.h"
 #include "hosts/link.h"
 #include "hosts/liveness.h"
 #include "hosts/ref_history.h"
 #include "net/fields.h"
+#include "support/world.h"
 
 namespace lotusyard::test {
 namespace {
--- a/tests/lotusyard/net_test.cpp
+++ b/tests/lotusyard/net_test.cpp
@@ -1,7 +1,12 @@
 // Buffers and what waits in them to be written.
 #include <sys/socket.h>
 
-#include "helper.h"
+#include <catch2/catch.hpp>
+
+#include "net/loop.h"
+#include "net/stream.h"
+#include "support/random.h"
+#include "support/settings.h"
 
 namespace lotusyard::test {
 namespace {
--- a/tests/lotusyard/parsers_test.cpp
+++ b/tests/lotusyard/parsers_test.cpp
@@ -1,9 +1,13 @@
 // The parsers under random cuts of valid messages and under random garbage.
+#include <catch2/catch.hpp>
+
 #include "amqp/wire.h"
 #include "feed/feed.h"
-#include "helper.h"
+#include "hosts/line_parser.h"
 #include "net/fields.h"
 #include "resp/parser.h"
+#include "support/random.h"
+#include "support/settings.h"
 
 namespace lotusyard::test {
 namespace {
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -1,11 +1,12 @@
 // The platform's front and the hosts' connections, over loopback.
 #include <sys/socket.h>
 
+#include <catch2/catch.hpp>
 #include <cerrno>
 
-#include "helper.h"
 #include "net/fields.h"
 #include "resp/front.h"
+#include "support/world.h"
 
 namespace lotusyard::test {
 namespace {
--- a/tests/lotusyard/process_test.cpp
+++ b/tests/lotusyard/process_test.cpp
@@ -7,13 +7,16 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <catch2/catch.hpp>
 #include <cstdlib>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
-#include "helper.h"
 #include "net/fields.h"
 #include "resp/parser.h"
+#include "support/settings.h"
+#include "support/stand_in_host.h"
+#include "support/stand_in_log.h"
 
 extern char** environ;
 
--- /dev/null
+++ b/tests/lotusyard/support/random.h
@@ -0,0 +1,37 @@
+// Random cuts and garbage from fixed seeds.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lotusyard::test {
+
+using Random = std::mt19937_64;
+
+inline std::size_t below(Random& random, std::size_t bound) { return random() % bound; }
+
+// The parser must give the same for a message however it is cut.
+template <typename Parser, typename Out>
+std::vector<Out> parse_cut(Random& random, const std::string& bytes, bool& sound) {
+  Parser parser;
+  std::vector<Out> out;
+  sound = true;
+  for (std::size_t at = 0; at < bytes.size() && sound;) {
+    const std::size_t part = std::min(bytes.size() - at, 1 + below(random, 1 + below(random, 40)));
+    sound = parser.take(std::string_view(bytes).substr(at, part), out);
+    at += part;
+  }
+  return out;
+}
+inline std::string garbage(Random& random, const std::string& alphabet) {
+  std::string out(below(random, 400), ' ');
+  for (char& c : out)
+    c = below(random, 3) == 0 ? static_cast<char>(random()) : alphabet[below(random, alphabet.size())];
+  return out;
+}
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/support/server.h
@@ -0,0 +1,55 @@
+// A listener on loopback for the stand-ins. All run on one loop, in turns.
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <list>
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "net/loop.h"
+#include "net/socket.h"
+#include "net/stream.h"
+
+namespace lotusyard::test {
+
+// Accepts connections and keeps them until they end.
+template <typename Peer, typename Owner>
+class Server : public net::Handler {
+ public:
+  Server(net::Loop& loop, net::BufferPool& pool, Owner& owner, const std::string& address = "127.0.0.1:0")
+      : loop_(loop), pool_(pool), owner_(owner), listener_(net::listen_on(address)) {
+    REQUIRE(static_cast<bool>(listener_));
+    address_ = net::bound_address(listener_);
+    loop_.watch(listener_.fd(), *this, POLLIN);
+  }
+  ~Server() override { stop(); }
+  void stop() {
+    if (listener_) loop_.forget(listener_.fd(), *this);
+    listener_.close();
+  }
+  const std::string& address() const { return address_; }
+  std::list<std::shared_ptr<Peer>> peers;
+  void ready(short) override {
+    while (net::Socket socket = net::accept_from(listener_)) {
+      peers.push_back(std::make_shared<Peer>(owner_, loop_, pool_, std::move(socket)));
+    }
+  }
+  void gone(Peer& peer) {
+    for (auto i = peers.begin(); i != peers.end(); ++i) {
+      if (i->get() != &peer) continue;
+      loop_.defer_destruction(*i);
+      peers.erase(i);
+      return;
+    }
+  }
+
+ private:
+  net::Loop& loop_;
+  net::BufferPool& pool_;
+  Owner& owner_;
+  net::Socket listener_;
+  std::string address_;
+};
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/support/settings.h
@@ -0,0 +1,31 @@
+// Settings of a small site, for tests that need any.
+#pragma once
+
+#include "core/types.h"
+
+namespace lotusyard::test {
+
+using core::Millis;
+
+inline core::Settings settings() {
+  core::Settings s;
+  s.classes.resize(2);
+  s.classes[0].name = "bin-check";
+  s.classes[0].semantics = robinfold::Semantics::repeatable;
+  s.classes[1].name = "bin-record";
+  for (auto& c : s.classes) c.aim = c.deadline = Millis(1500);
+  s.tick = Millis(4);
+  s.answer_grace = Millis(16);
+  s.drain_grace = Millis(2000);
+  s.keep_alive = Millis(9000);
+  s.order_timeout = Millis(10000);
+  s.connect_timeout = Millis(250);
+  s.miss_is_answered = s.orders = s.cancel = s.probes = true;
+  s.max_attempts = 4;
+  s.retry_after = true;
+  s.max_retry_after = Millis(500);
+  s.seed = 7;
+  return s;
+}
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/support/stand_in_host.h
@@ -0,0 +1,83 @@
+// A stand-in for hosts, with answers that go wrong as told.
+#pragma once
+
+#include <catch2/catch.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "hosts/line_parser.h"
+#include "support/server.h"
+
+namespace lotusyard::test {
+
+// What a stand-in host does with one exec. `stall`: half an answer, and then nothing more on that connection.
+struct Reaction {
+  enum Kind { reply, silence, half, hang_up, stall, twice, stranger, noise, no_length } kind = reply;
+  std::string word = "data";
+};
+
+class StandInHost {
+ public:
+  StandInHost(net::Loop& loop, net::BufferPool& pool, const std::string& address = "127.0.0.1:0")
+      : server(loop, pool, *this, address) {}
+  class Peer final : public net::Stream {
+   public:
+    Peer(StandInHost& host, net::Loop& loop, net::BufferPool& pool, net::Socket socket)
+        : Stream(loop, pool, std::move(socket), false), host_(host) {}
+
+    bool stalled = false;
+
+   private:
+    StandInHost& host_;
+    hosts::LineParser parser_;  // its requests have the form of its answers, with the verb first
+    void received(std::string_view bytes) override {
+      std::vector<hosts::Reply> lines;
+      REQUIRE(parser_.take(bytes, lines));
+      for (const auto& line : lines) host_.take(*this, line);
+    }
+    void ended() override { host_.server.gone(*this); }
+  };
+  Server<Peer, StandInHost> server;
+  std::function<Reaction(const std::string& body)> react = [](const std::string&) { return Reaction(); };
+  std::map<std::string, int> runs;  // by body: execs that may have run
+  std::string last_fields;          // of the last exec, as they came
+  int execs = 0, drops = 0, orders = 0;
+  bool mute = false;   // answers no health check, as if cut off
+  bool loads = false;  // orders to load come to no end
+
+ private:
+  void take(Peer& peer, const hosts::Reply& line) {
+    if (line.id == "drop") ++drops;
+    if (peer.stalled) return;
+    if (line.id == "health" && !mute) peer.write(line.word + " well - 0\r\n\r\n");
+    if (line.id == "load") peer.write(line.word + " well l=inflight:1;util:0.5 0\r\n\r\n");
+    if (line.id == "ensure") {
+      ++orders;
+      if (loads) return;
+      peer.write(line.word + " data count=1\r\n");
+    }
+    if (line.id != "exec") return;
+    ++execs;
+    last_fields = line.fields;
+    const std::string body = line.body.value_or("");
+    const Reaction reaction = react(body);
+    if (reaction.kind != Reaction::reply || reaction.word == "data" || reaction.word == "failed")
+      ++runs[body];
+    const std::string whole = line.word + ' ' + reaction.word + " l=inflight:1;util:0.5 " +
+                              std::to_string(body.size()) + "\r\n" + body + "\r\n";
+    if (reaction.kind == Reaction::stranger) peer.write("00000000000000ff data - 1\r\nx\r\n");
+    if (reaction.kind == Reaction::no_length) return peer.write(line.word + " data -\r\n");
+    if (reaction.kind == Reaction::noise) peer.write(line.word + " d\x01ta =,= 3\r\nxyz\r\n");
+    if (reaction.kind == Reaction::twice) peer.write(whole);
+    if (reaction.kind <= Reaction::reply || reaction.kind >= Reaction::twice) peer.write(whole);
+    peer.stalled = reaction.kind == Reaction::stall;
+    if (peer.stalled) peer.write(whole.substr(0, whole.size() / 2));
+    if (reaction.kind == Reaction::half) peer.write(whole.substr(0, whole.size() / 2));
+    if (reaction.kind == Reaction::half) peer.flush_now();
+    if (reaction.kind == Reaction::half || reaction.kind == Reaction::hang_up) peer.end_later();
+  }
+};
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/support/stand_in_log.h
@@ -0,0 +1,60 @@
+// A stand-in for the change log.
+#pragma once
+
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "feed/feed.h"
+#include "support/random.h"
+#include "support/server.h"
+
+namespace lotusyard::test {
+
+// Answers `since N` with the later events, cut anywhere; breaks off after a random part, or stops there and
+// stays open.
+struct StandInLog {
+  class Peer final : public net::Stream {
+   public:
+    Peer(StandInLog& log, net::Loop& loop, net::BufferPool& pool, net::Socket socket)
+        : Stream(loop, pool, std::move(socket), false), log_(log) {}
+
+   private:
+    StandInLog& log_;
+    feed::LineCutter cutter_;
+    void received(std::string_view bytes) override {
+      std::vector<std::string> lines;
+      REQUIRE(cutter_.take(bytes, lines));
+      for (const auto& line : lines) {
+        REQUIRE(line.compare(0, 6, "since ") == 0);
+        log_.asked.push_back(std::stoull(line.substr(6)));
+        std::string text;
+        if (log_.asked.size() <= log_.replies.size()) text = log_.replies[log_.asked.size() - 1];
+        for (std::size_t i = log_.asked.back(); i < log_.events; ++i) {
+          const std::string number = std::to_string(i + 1);
+          const bool spoilt = log_.spoilt_once == i + 1 && log_.asked.size() == 1;
+          text += R"({"seq":)" + number + R"(,"fleet":{"complete":false,"members":[{")" +
+                  (spoilt ? "i" : "id") + R"(":"s)" + number +
+                  R"(","host_port":"127.0.0.1:9","phase":"ready"}]}})" + "\n";
+        }
+        text += std::to_string(log_.events) + "\n";
+        write(text.substr(0, log_.breaks_off ? below(log_.random, text.size() + 1) : text.size()));
+        flush_now();
+        if (!log_.stays_open) end_later();
+      }
+    }
+    void ended() override { log_.server.gone(*this); }
+  };
+  StandInLog(net::Loop& loop, net::BufferPool& pool) : server(loop, pool, *this) {}
+  Random random{6};
+  Server<Peer, StandInLog> server;
+  std::size_t events = 20;
+  std::vector<std::uint64_t> asked;
+  std::size_t spoilt_once = 0;  // the number of an event whose row has no id, the first time
+  bool stays_open = false, breaks_off = true;
+  std::vector<std::string> replies;  // to each `since` in turn, in front of the events
+};
+
+}  // namespace lotusyard::test
--- /dev/null
+++ b/tests/lotusyard/support/world.h
@@ -0,0 +1,74 @@
+// The parts of an invoker behind its fronts, wired to stand-in hosts.
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/dispatcher.h"
+#include "hosts/fleet.h"
+#include "net/loop.h"
+#include "support/settings.h"
+#include "support/stand_in_host.h"
+
+namespace lotusyard::test {
+
+// The parts of an invoker behind its fronts, and hosts for it.
+class World {
+ public:
+  explicit World(std::size_t hosts, const core::Settings& s = settings(), const hosts::Limits& l = limits(),
+                 std::size_t write_buffers = 4096)
+      : pool(write_buffers),
+        fleet(loop, pool, counters, l),
+        dispatcher(
+            s, [this] { return loop.now(); }, fleet, counters) {
+    fleet.attach(dispatcher);
+    for (std::size_t i = 0; i < hosts; ++i) host.push_back(std::make_unique<StandInHost>(loop, pool));
+    tell(robinfold::WorkerState::ready);
+  }
+  // The whole list anew; the given state is that of all hosts, or of one.
+  void tell(robinfold::WorkerState state, double started = 0, std::size_t one = SIZE_MAX) {
+    states.resize(host.size());
+    core::MemberList list{true, {}};
+    core::HostList entries{core::ListKind::full, {}};
+    for (std::size_t i = 0; i < host.size(); ++i) {
+      core::Member member;
+      member.entry.worker = "h" + std::to_string(i);
+      if (one == SIZE_MAX || one == i) states[i] = {state, Millis(started), loop.now()};
+      member.entry.state = states[i].state;
+      member.entry.started = states[i].started;
+      member.address = host[i]->server.address();
+      list.members.push_back(member);
+      entries.entries.push_back(member.entry);
+    }
+    fleet.members(list);
+    dispatcher.members(std::move(entries));
+  }
+  void turn() {
+    loop.turn(std::min(dispatcher.next_due(), loop.now() + Millis(20)), [this] { dispatcher.tick(); });
+  }
+  template <typename Until>
+  bool turn_until(const Until& until, int most = 200000) {
+    for (int i = 0; i < most && !until(); ++i) turn();
+    return until();
+  }
+  static hosts::Limits limits() {
+    hosts::Limits l;
+    l.report_fields = {"inflight", "util"};
+    return l;
+  }
+  struct Told {
+    robinfold::WorkerState state = robinfold::WorkerState::gone;
+    Millis started{0}, at{0};
+  };
+  net::Loop loop;
+  net::BufferPool pool;
+  core::Counters counters;
+  std::vector<std::unique_ptr<StandInHost>> host;
+  std::vector<Told> states;
+  hosts::Fleet fleet;
+  core::Dispatcher dispatcher;
+};
+
+}  // namespace lotusyard::test
--- a/tests/lotusyard/triggers.h
+++ b/tests/lotusyard/triggers.h
@@ -3,7 +3,8 @@
 
 #include <ostream>
 
-#include "helper.h"
+#include "support/stand_in_broker.h"
+#include "support/world.h"
 
 namespace lotusyard::test {
 
