Serve a request that becomes whole in the turn in which its connection was to end

Cause: a connection with half a request ends once its last open call is answered; a rest that came in that very turn was taken, and its call then lost with the connection. The rest now takes the end back. The test puts both into one turn and fails without it.

--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -22,6 +22,7 @@
   bool flush_now();                    // false if some bytes must wait or the stream ends
   void end_later();                    // ends it from the loop, for callers that `ended` must not interrupt
   void end_when_written();             // the same, once all bytes are handed to the kernel
+  void keep_open() { ends_when_written_ = false; }  // takes that back
   bool open() const { return static_cast<bool>(socket_) && !connecting_; }
   bool connecting() const { return static_cast<bool>(socket_) && connecting_; }
   bool ending() const { return ending_ || !socket_; }  // nothing written now would go out
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -66,6 +66,7 @@
     if (begun_ && (!commands.empty() || !parser_.begun())) {
       loop().cancel(request_timer_);
       overdue_ = false;
+      keep_open();  // the rest has come in the very turn in which the last open call was answered
     }
     if (parser_.begun() && (!begun_ || !commands.empty())) expect_whole();
     begun_ = parser_.begun() || !asked;
--- a/tests/lotusyard/platform_test.cpp
+++ b/tests/lotusyard/platform_test.cpp
@@ -259,6 +259,34 @@
   if (rest_comes) CHECK(c.answer("3") != nullptr);
 }
 
+TEST_CASE(
+    "a request that becomes whole in the turn of the last answer is served before its connection ends") {
+  resp::Front::Limits limits;
+  limits.request_timeout = Millis(100);
+  Platform p(1, limits);
+  Client first(p.world, p.front.address());
+  first.call("1", "bin-check", "before");  // the connection to the host is read before the next client's
+  REQUIRE(first.answer("1") != nullptr);
+  p.world.host[0]->react = [](const std::string& body) {
+    return body == "x" ? Reaction{Kind::silence, ""} : Reaction();
+  };
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-check", "x", 1400);
+  REQUIRE(p.world.turn_until([&] { return p.world.host[0]->execs == 2; }, 20000));
+  const std::string ref = net::hex16(std::hash<std::string>()("1x"));
+  std::string call;
+  resp::write_array(
+      call, {"CALL", "2", "bin-check",
+             "ref=00000000000000c2,allow=1400,lookup=00000000000000a1,spec=memory_mb:300;lanes:4", "y"});
+  c.write(call.substr(0, call.size() - 2));
+  REQUIRE(p.world.turn_until([&] { return p.world.counters.value("resp.half_request") == 1; }, 20000));
+  p.world.host[0]->server.peers.front()->write(ref + " data - 1\r\nx\r\n");
+  c.write("\r\n");
+  REQUIRE(c.answer("2") != nullptr);
+  CHECK(c.answer("1")->at(1) == "OK");
+  CHECK(c.answer("2")->at(1) == "OK");
+}
+
 // Failure found in review: a client that read nothing used up the buffers of all connections, and the one
 // that next had to write was ended instead of it.
 TEST_CASE("a client that reads nothing pays for the buffers that its answers take, not whoever writes next") {
