--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -4,6 +4,7 @@
 #include <fstream>
 #include <initializer_list>
 #include <random>
+#include <utility>
 
 #include "config/json_read.h"
 #include "config/settings.h"
@@ -190,7 +191,7 @@
   return {std::move(document), events.take_events()};
 }
 
-Config read_config(const ConfigFile& config_file, const std::string& name, const std::string& listen) {
+Config read_config(ConfigFile config_file, const std::string& name, const std::string& listen) {
   const json& file = config_file.document;
   Config out;
   out.name = key(file, "name").is_string() ? text(key(file, "name")) : name;
@@ -210,7 +211,7 @@
     if (!key(known, "seq").is_number_unsigned()) fault("known.seq", "a whole number is needed");
     if (!key(known, "results").is_array()) fault("known.results", "an array is needed");
     out.known_seq = large(key(known, "seq"));
-    out.known_events = config_file.known_events;
+    out.known_events = std::move(config_file.known_events);
     // What is left of the list are events that are no objects.
     if (!key(known, "results").empty()) out.known_events.push_back({{}, true, true, {}});
   }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -57,7 +57,7 @@
 };
 
 /// `listen` and `name` come from the environment where the file has none. Throws ConfigError.
-Config read_config(const ConfigFile& file, const std::string& name, const std::string& listen);
+Config read_config(ConfigFile config_file, const std::string& name, const std::string& listen);
 /// Memory: that of the hosts that the file names, and of one row of them. Throws ConfigError.
 ConfigFile read_config_file(const std::string& path);
 
--- a/src/core/log_writer.h
+++ b/src/core/log_writer.h
@@ -23,7 +23,6 @@
   void write_line(std::string_view line);
   /// Goes on with what is kept. Cost: one poll(2), and one write(2) for each 4 KiB.
   void flush();
-  bool pending() const { return !pending_.empty(); }
 
  private:
   int descriptor_;
