Log single events: calls that end unserved, the membership log's connections and events

Missed while the incident of 2026-12-02 was read: which hosts a refused call had met, when and why a connection to the membership log ended, what number was asked for, and when an event that drains a worker was applied. The status lines tell only sums of 5 s, from which the outage's begin could be placed within 0.3 s at best.

One line an event, at most 20 a second in the mean; the rest is counted. No decision changes.

--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -43,6 +43,8 @@
       config_(read_configuration(config_file_)),
       log_(STDOUT_FILENO, counters_),
       errors_(STDERR_FILENO, counters_),
+      events_([this] { return loop_.now(); }, [this](const std::string& line) { log_.write_line(line); },
+              counters_),
       pool_(memory_quarter(config_) / net::BufferPool::kBlockSize),
       fleet_(loop_, pool_, counters_, host_limits(config_)),
       dispatcher_(
@@ -53,6 +55,7 @@
           loop_, [this] { reload(); },
           [this](const std::string& fault, bool last) { on_reload_fault(fault, last); }) {
   fleet_.attach(dispatcher_);
+  dispatcher_.log_to(events_);
   start_membership();
   start_listening();
   if (terminated_at_start_) return;
@@ -94,6 +97,7 @@
   if (!config_.xds) {
     membership_client_.emplace(loop_, pool_, counters_, config_.changelog, known, on_update,
                                memory_quarter(config_), config_.seed);
+    membership_client_->log_to(events_);
     membership_client_->start();
     return;
   }
--- a/src/app/invoker.h
+++ b/src/app/invoker.h
@@ -10,6 +10,7 @@
 #include "config/config.h"
 #include "core/counters.h"
 #include "core/dispatcher.h"
+#include "core/event_log.h"
 #include "core/log_writer.h"
 #include "core/shutdown.h"
 #include "feed/membership_client.h"
@@ -41,6 +42,7 @@
   config::Config config_;
   core::Counters counters_;
   core::LogWriter log_, errors_;
+  core::EventLog events_;
   net::BufferPool pool_;
   hosts::ConnectionPool fleet_;
   core::Dispatcher dispatcher_;
--- a/src/core/counter.cpp
+++ b/src/core/counter.cpp
@@ -121,6 +121,8 @@
      "to nothing that was sent, or a second time"},
     {Counter::hosts_unread_closed, "hosts.unread_closed", "connections",
      "to hosts that read so little that their buffers were needed for others"},
+    {Counter::log_events_suppressed, "log.events_suppressed", "lines",
+     "of single events that were not written, as there were too many"},
     {Counter::log_lines_dropped, "log.lines_dropped", "lines", "of this log that nobody read in time"},
     {Counter::orders_sent, "orders.sent", "orders", "to load given to connections to hosts"},
     {Counter::resp_accept_failed, "resp.accept_failed", "connections",
--- a/src/core/counter.h
+++ b/src/core/counter.h
@@ -87,6 +87,7 @@
   hosts_stalled_links,
   hosts_surplus_answers,
   hosts_unread_closed,
+  log_events_suppressed,
   log_lines_dropped,
   orders_sent,
   resp_accept_failed,
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -250,8 +250,28 @@
   references_.end(call.call().ref, clock_());
   counters_.add(counter_of(answer.verdict));
   if (call.attempt()) hosts_.cancel(call.attempt()->attempt);
+  if (answer.verdict != Verdict::served) log_unserved(call, answer.verdict);
   call.front().answer(id, std::move(answer));
   report_abandoned_attempt(call, Outcome::cancelled, true);
 }
 
+// What one looks for first when a client complains: which hosts the call met, and what they said.
+void Dispatcher::log_unserved(const OpenCall& call, Verdict verdict) {
+  if (event_log_ == nullptr) return;
+  std::string attempts;
+  for (const EndedAttempt& ended : call.ended_attempts()) {
+    if (!attempts.empty()) attempts += ',';
+    attempts += ended.host + ':' + log_name(ended.outcome);
+  }
+  if (call.attempt()) attempts += (attempts.empty() ? "" : ",") + call.attempt()->host + ":open";
+  const Millis now = clock_();
+  const auto whole = [](Millis span) { return std::to_string(static_cast<std::int64_t>(span.count())); };
+  event_log_->write(verdict == Verdict::refused ? "call.refused" : "call.failed",
+                    {{"ref", call.call().ref},
+                     {"class", call.call().class_name},
+                     {"age_ms", whole(now - call.call().arrived)},
+                     {"left_ms", whole(call.time_left(now))},
+                     {"attempts", attempts.empty() ? "none" : attempts}});
+}
+
 }  // namespace pathstack::core
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -12,6 +12,7 @@
 #include "core/call_references.h"
 #include "core/call_validator.h"
 #include "core/counters.h"
+#include "core/event_log.h"
 #include "core/load_budget.h"
 #include "core/module.h"
 #include "core/open_call.h"
@@ -32,6 +33,10 @@
   /// The references must outlive this object.
   Dispatcher(const Settings& settings, Clock clock, Hosts& hosts, Counters& counters);
 
+  /// Calls that end unserved are told of in `log`, which must outlive this object. Without one nothing is
+  /// written.
+  void log_to(EventLog& log) { event_log_ = &log; }
+
   /// An id for a new call, made beforehand, so that a front can file the call before an answer comes.
   CallId next_id() { return ++last_id_; }
   /// Takes a call under an id of `next_id`; its answer may be given before this returns. False, with the
@@ -78,6 +83,7 @@
   Clock clock_;
   Hosts& hosts_;
   Counters& counters_;
+  EventLog* event_log_ = nullptr;
   Module module_;
   LoadBudget load_budget_;
   CallValidator validator_;
@@ -106,6 +112,7 @@
   void call_overdue(CallId id);
   void report_abandoned_attempt(OpenCall& call, Outcome outcome, bool call_over);
   void finish(CallId id, Answer&& answer);
+  void log_unserved(const OpenCall& call, Verdict verdict);
 };
 
 }  // namespace pathstack::core
--- /dev/null
+++ b/src/core/event_log.cpp
@@ -0,0 +1,60 @@
+#include "core/event_log.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace pathstack::core {
+
+const char* log_name(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::ok: return "ok";
+    case Outcome::error: return "error";
+    case Outcome::full: return "full";
+    case Outcome::timeout: return "timeout";
+    case Outcome::connect_failed: return "connect_failed";
+    case Outcome::reset: return "reset";
+    case Outcome::cancelled: return "cancelled";
+    case Outcome::moot: return "moot";
+    case Outcome::miss: return "miss";
+    case Outcome::not_sent: return "not_sent";
+    case Outcome::unreachable: return "unreachable";
+  }
+  return "unknown";
+}
+
+EventLog::EventLog(Clock clock, WriteLine write_line, Counters& counters)
+    : clock_(std::move(clock)),
+      write_line_(std::move(write_line)),
+      counters_(counters),
+      filled_at_(clock_()) {}
+
+bool EventLog::take_token(Millis now) {
+  constexpr double kMillisPerSecond = 1000;
+  const double elapsed = (now - filled_at_).count();
+  filled_at_ = now;
+  tokens_ = std::min(kBurst, tokens_ + elapsed * kLinesPerSecond / kMillisPerSecond);
+  if (tokens_ < 1) return false;
+  tokens_ -= 1;
+  return true;
+}
+
+void EventLog::write(std::string_view name, std::initializer_list<Field> fields) {
+  constexpr double kMillisPerSecond = 1000;
+  const Millis now = clock_();
+  if (!take_token(now)) return counters_.add(Counter::log_events_suppressed);
+  char time[32];
+  std::snprintf(time, sizeof time, "%.3f", now.count() / kMillisPerSecond);
+  std::string line = "event ";
+  line += name;
+  line += " t=";
+  line += time;
+  for (const auto& [key, value] : fields) {
+    line += ' ';
+    line += key;
+    line += '=';
+    line += value;
+  }
+  write_line_(line);
+}
+
+}  // namespace pathstack::core
--- a/src/core/open_call.h
+++ b/src/core/open_call.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "core/types.h"
 
@@ -16,6 +17,12 @@
   Millis sent_at{0};
 };
 
+/// How an attempt of a call ended.
+struct EndedAttempt {
+  std::string host;
+  Outcome outcome = Outcome::error;
+};
+
 /// Keeps what the attempts of one call prove, and says whether one more may be sent, whatever the module
 /// decides: one open at a time, a few in all, none where one may have run and must not run twice. Owned by
 /// the dispatcher; knows no clock; all operations take constant time.
@@ -49,11 +56,14 @@
     attempt_.reset();
     if (!pathstack::policy::proves_never_ran(outcome)) may_have_run_ = true;
     if (outcome == Outcome::not_sent) ++not_sent_;
+    ended_attempts_.push_back({closed.host, outcome});
     return closed;
   }
 
   /// True unless all that is known proves that the call never ran.
   bool may_have_run() const { return may_have_run_; }
+  /// The attempts that have ended, in order.
+  const std::vector<EndedAttempt>& ended_attempts() const { return ended_attempts_; }
   /// The open attempt may have run.
   void note_may_have_run() { may_have_run_ = true; }
 
@@ -65,6 +75,7 @@
   int next_attempt_ = 0;
   int not_sent_ = 0;  // attempts that a fault of this machine kept from leaving
   std::optional<OpenAttempt> attempt_;
+  std::vector<EndedAttempt> ended_attempts_;
 };
 
 }  // namespace pathstack::core
--- a/src/feed/membership_client.cpp
+++ b/src/feed/membership_client.cpp
@@ -3,6 +3,11 @@
 #include <utility>
 
 namespace pathstack::feed {
+namespace {
+
+constexpr std::size_t kMostIdsLogged = 8;
+
+}  // namespace
 
 MembershipClient::MembershipClient(net::Loop& loop, net::BufferPool& pool, core::Counters& counters,
                                    std::string address, EventSequence known, OnUpdate on_update,
@@ -32,6 +37,7 @@
 void MembershipClient::move(const std::string& address) {
   if (address == address_) return;
   counters_.add(core::Counter::feed_moves);
+  if (event_log_ != nullptr) event_log_->write("membership.moved", {{"address", address}});
   address_ = address;
   const std::shared_ptr<WatchConnection> old = std::exchange(connection_, nullptr);
   if (old) {
@@ -64,6 +70,7 @@
   if (result == Result::no_update) return true;
   staleness_.update_received();
   counters_.add(core::Counter::feed_events);
+  log_event(list);
   on_update_(list);
   return true;
 }
@@ -77,7 +84,40 @@
 }
 
 void MembershipClient::on_ended(const WatchConnection& connection) {
-  if (is_current(connection)) reconnect_later();
+  if (!is_current(connection)) return;
+  if (event_log_ != nullptr) {
+    event_log_->write("membership.ended", {{"address", address_},
+                                           {"reason", std::string(connection.end_reason())},
+                                           {"last", std::to_string(sequence_.last())}});
+  }
+  reconnect_later();
+}
+
+void MembershipClient::on_asked(std::uint64_t last) {
+  if (event_log_ == nullptr) return;
+  event_log_->write("membership.asked", {{"address", address_}, {"since", std::to_string(last)}});
+}
+
+// Counts of the states named, and the ids as far as they are few.
+void MembershipClient::log_event(const core::MemberList& list) const {
+  if (event_log_ == nullptr) return;
+  std::size_t ready = 0, draining = 0, gone = 0;
+  std::string ids;
+  for (const core::Member& member : list.members) {
+    const core::WorkerState state = member.entry.state;
+    if (state == core::WorkerState::ready) ++ready;
+    if (state == core::WorkerState::draining) ++draining;
+    if (state == core::WorkerState::gone) ++gone;
+    if (list.members.size() > kMostIdsLogged) continue;
+    if (!ids.empty()) ids += ',';
+    ids += member.entry.worker;
+  }
+  event_log_->write("membership.event", {{"seq", std::to_string(sequence_.last())},
+                                         {"complete", list.complete ? "1" : "0"},
+                                         {"ready", std::to_string(ready)},
+                                         {"draining", std::to_string(draining)},
+                                         {"gone", std::to_string(gone)},
+                                         {"workers", ids.empty() ? "many" : ids}});
 }
 
 }  // namespace pathstack::feed
--- a/src/feed/membership_client.h
+++ b/src/feed/membership_client.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "core/counters.h"
+#include "core/event_log.h"
 #include "core/member.h"
 #include "feed/backoff.h"
 #include "feed/event_sequence.h"
@@ -38,6 +39,9 @@
   MembershipClient(const MembershipClient&) = delete;
   MembershipClient& operator=(const MembershipClient&) = delete;
 
+  /// Connections, their ends and events are told of in `log`, which must outlive this object.
+  void log_to(core::EventLog& log) { event_log_ = &log; }
+
   /// Begins the first connection.
   void start() { connect(); }
 
@@ -51,6 +55,7 @@
   net::BufferPool& pool_;
   core::Counters& counters_;
   std::string address_;
+  core::EventLog* event_log_ = nullptr;
   EventSequence sequence_;
   OnUpdate on_update_;
   std::size_t max_event_bytes_;
@@ -61,6 +66,7 @@
   net::Loop::TimerId reconnect_timer_;
 
   bool is_current(const WatchConnection& connection) const override;
+  void on_asked(std::uint64_t last) override;
   std::uint64_t last_sequence() const override { return sequence_.last(); }
   bool on_line(const std::string& line) override;
   void on_silence_expired(const WatchConnection& connection) override;
@@ -69,6 +75,7 @@
 
   void connect();
   void reconnect_later();
+  void log_event(const core::MemberList& list) const;
 };
 
 }  // namespace pathstack::feed
--- a/src/feed/watch_connection.cpp
+++ b/src/feed/watch_connection.cpp
@@ -20,7 +20,9 @@
 
 void WatchConnection::connected() {
   counters_.add(core::Counter::feed_connections);
-  write("since " + std::to_string(owner_.last_sequence()) + "\n");
+  const std::uint64_t last = owner_.last_sequence();
+  write("since " + std::to_string(last) + "\n");
+  owner_.on_asked(last);
   expect_bytes();
   expect_line();
 }
@@ -68,8 +70,20 @@
 }
 
 void WatchConnection::end_counted(core::Counter reason) {
+  if (own_end_reason_.empty()) own_end_reason_ = core::info_of(reason).name;
   counters_.add(reason);
   end_later();
 }
 
+std::string_view WatchConnection::end_reason() const {
+  if (!own_end_reason_.empty()) return own_end_reason_;
+  switch (end_cause()) {
+    case net::StreamEnd::local: return "local";
+    case net::StreamEnd::closed_by_peer: return "closed_by_log";
+    case net::StreamEnd::reset_by_peer: return "reset_or_refused";
+    case net::StreamEnd::network_failure: break;
+  }
+  return "network_failure";
+}
+
 }  // namespace pathstack::feed
--- a/src/feed/watch_connection.h
+++ b/src/feed/watch_connection.h
@@ -24,6 +24,9 @@
   /// False once the client has gone on to another connection: this one reads nothing more.
   virtual bool is_current(const WatchConnection& connection) const = 0;
 
+  /// The question for all events after `last` leaves now.
+  virtual void on_asked(std::uint64_t last) = 0;
+
   /// The sequence number after which the log is to go on.
   virtual std::uint64_t last_sequence() const = 0;
 
@@ -52,6 +55,9 @@
   WatchConnection(const WatchConnection&) = delete;
   WatchConnection& operator=(const WatchConnection&) = delete;
 
+  /// Why it ended, for the log.
+  std::string_view end_reason() const;
+
  private:
   core::Counters& counters_;
   WatchOwner& owner_;
@@ -59,6 +65,7 @@
   LineSplitter splitter_;
   net::Loop::TimerId silence_timer_;  // until the connection is made: its connect timeout
   net::Loop::TimerId line_timer_;
+  std::string_view own_end_reason_;  // empty: it did not end itself
 
   void connected() override;
   void received(std::string_view bytes) override;
--- /dev/null
+++ b/tests/invoker/event_log_test.cpp
@@ -0,0 +1,28 @@
+// Lines of single events, and that too many of them are dropped.
+#include "core/event_log.h"
+
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+namespace pathstack::test {
+
+TEST_CASE("events are lines of key and value, bounded in number and counted past that") {
+  core::Counters counters;
+  std::vector<std::string> lines;
+  core::Millis now(1500);
+  core::EventLog log([&] { return now; }, [&](const std::string& line) { lines.push_back(line); }, counters);
+  log.write("call.refused", {{"ref", "a1"}, {"attempts", "s-1:full"}});
+  REQUIRE(lines.size() == 1);
+  CHECK(lines[0] == "event call.refused t=1.500 ref=a1 attempts=s-1:full");
+
+  for (int i = 0; i < 200; ++i) log.write("call.refused", {});
+  CHECK(lines.size() == static_cast<std::size_t>(core::EventLog::kBurst));
+  CHECK(counters.value(core::Counter::log_events_suppressed) == 101);
+
+  now += core::Millis(1000);
+  for (int i = 0; i < 200; ++i) log.write("call.refused", {});
+  CHECK(lines.size() == static_cast<std::size_t>(core::EventLog::kBurst + core::EventLog::kLinesPerSecond));
+}
+
+}  // namespace pathstack::test
