--- /dev/null
+++ b/tests/soak/fault_proxy.cpp
@@ -0,0 +1,91 @@
+#include "fault_proxy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pathstack::soak {
+
+// One of the two connections of a link.
+class FaultProxy::Side final : public net::Stream {
+ public:
+  Side(FaultProxy& proxy, Link& link, net::Socket socket, bool connecting)
+      : Stream(proxy.loop_, proxy.pool_, std::move(socket), connecting), proxy_(proxy), link_(link) {}
+  Link& link() { return link_; }
+
+ private:
+  FaultProxy& proxy_;
+  Link& link_;
+
+  void connected() override { loop().flush_later(*this); }
+  void received(std::string_view bytes) override { proxy_.forward(*this, bytes); }
+  void ended() override { proxy_.link_ended(link_); }
+};
+
+struct FaultProxy::Link {
+  std::unique_ptr<Side> client, target;
+  bool ending = false;
+};
+
+FaultProxy::FaultProxy(net::Loop& loop, net::BufferPool& pool, std::string target)
+    : loop_(loop),
+      pool_(pool),
+      target_(std::move(target)),
+      listener_(loop, [this](net::Socket client) { accept(std::move(client)); }) {}
+
+FaultProxy::~FaultProxy() = default;
+
+void FaultProxy::accept(net::Socket client) {
+  auto link = std::make_shared<Link>();
+  link->client = std::make_unique<Side>(*this, *link, std::move(client), false);
+  link->target = std::make_unique<Side>(*this, *link, net::connect_to(target_), true);
+  links_.push_back(std::move(link));
+}
+
+void FaultProxy::forward(Side& from, std::string_view bytes) {
+  if (mode_ != Mode::pass && mode_ != Mode::cut) return;
+  Link& link = from.link();
+  const bool from_target = &from == link.target.get();
+  if (mode_ == Mode::cut) {
+    if (!from_target) return;
+    link.client->write(bytes.substr(0, bytes.size() / 2));
+    mode_ = Mode::silent;
+    return;
+  }
+  if (!from_target) return link.target->write(bytes);
+  if (delay_.count() <= 0) return link.client->write(bytes);
+  const auto found =
+      std::find_if(links_.begin(), links_.end(), [&](const auto& other) { return other.get() == &link; });
+  if (found == links_.end()) return;
+  loop_.at(loop_.now() + delay_, [weak = std::weak_ptr<Link>(*found), text = std::string(bytes)] {
+    if (const auto alive = weak.lock()) alive->client->write(text);
+  });
+}
+
+void FaultProxy::set_mode(Mode mode) {
+  const bool was_held_back = mode_ == Mode::silent || mode_ == Mode::cut;
+  mode_ = mode;
+  if (mode == Mode::refuse) listener_.close();
+  if (mode != Mode::refuse) listener_.reopen();
+  if (mode == Mode::refuse || (mode == Mode::pass && was_held_back)) break_connections();
+}
+
+void FaultProxy::break_connections() {
+  for (const auto& link : links_) {
+    link->client->end_later();
+    link->target->end_later();
+  }
+}
+
+// Both sides end together.
+void FaultProxy::link_ended(Link& link) {
+  if (std::exchange(link.ending, true)) return;
+  link.client->end_later();
+  link.target->end_later();
+  const auto found =
+      std::find_if(links_.begin(), links_.end(), [&](const auto& other) { return other.get() == &link; });
+  if (found == links_.end()) return;
+  loop_.defer_destruction(*found);
+  links_.erase(found);
+}
+
+}  // namespace pathstack::soak
--- /dev/null
+++ b/tests/soak/fleet.cpp
@@ -0,0 +1,151 @@
+#include "fleet.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include "site_settings.h"
+
+namespace pathstack::soak {
+namespace {
+
+FaultProxy::Mode mode_of(LogFault fault) {
+  switch (fault) {
+    case LogFault::refused: return FaultProxy::Mode::refuse;
+    case LogFault::cut: return FaultProxy::Mode::cut;
+    case LogFault::silent:
+    case LogFault::moved: break;
+  }
+  return FaultProxy::Mode::silent;
+}
+
+double unix_ms() {
+  return std::chrono::duration<double, std::milli>(std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+}  // namespace
+
+Fleet::Fleet(net::Loop& loop, net::BufferPool& pool, Record& record, std::function<Millis()> clock,
+             const Deployment& deployment, std::uint64_t seed)
+    : loop_(loop),
+      pool_(pool),
+      record_(record),
+      clock_(std::move(clock)),
+      deployment_(deployment),
+      host_busy_(static_cast<std::size_t>(deployment.hosts)),
+      log_(loop, pool, record, clock_, deployment.invokers,
+           [this](const std::string& worker, int invoker) {
+             const auto found = std::find_if(hosts_.begin(), hosts_.end(),
+                                             [&](const auto& host) { return host->id() == worker; });
+             return (*found)->address(invoker);
+           }),
+      log_proxies_(static_cast<std::size_t>(deployment.invokers)) {
+  std::vector<MemberRow> rows;
+  for (int i = 0; i < deployment.hosts; ++i) {
+    hosts_.push_back(std::make_unique<WorkerHost>(loop, pool, record, clock_, "s-" + std::to_string(i),
+                                                  zone_name(i % deployment.zones), deployment.invokers,
+                                                  deployment.times, seed * 1000 + static_cast<unsigned>(i)));
+    rows.push_back(row_of(*hosts_.back(), MemberState::ready, false));
+  }
+  log_.append(std::move(rows));
+  for (int invoker = 0; invoker < deployment.invokers; ++invoker) {
+    LogAccess& access = log_proxies_[static_cast<std::size_t>(invoker)];
+    access.proxies.push_back(std::make_unique<FaultProxy>(loop, pool, log_.address(invoker)));
+    access.current = access.proxies.back().get();
+  }
+}
+
+MemberRow Fleet::row_of(const WorkerHost& host, MemberState state, bool restarted) const {
+  return {host.id(), host.zone(), state, restarted ? unix_ms() : 0};
+}
+
+void Fleet::after(Millis delay, std::function<void()> callback) {
+  loop_.at(loop_.now() + delay, std::move(callback));
+}
+
+void Fleet::apply(const LogOutageFault& fault) {
+  for (int invoker = 0; invoker < deployment_.invokers; ++invoker) {
+    if (fault.invoker < 0 || fault.invoker == invoker) begin_outage(invoker, fault.fault, fault.length);
+  }
+}
+
+// One that begins within another is passed over: its clocks would depend on which one ends first.
+void Fleet::begin_outage(int invoker, LogFault fault, Millis length) {
+  LogAccess& access = log_proxies_[static_cast<std::size_t>(invoker)];
+  const Millis now = clock_();
+  if (now < access.out_until) return;
+  access.out_until = now + length;
+  record_.outages.push_back({invoker, fault, now, now + length});
+  FaultProxy* const proxy = access.current;
+  proxy->set_mode(mode_of(fault));
+  after(length, [proxy] { proxy->set_mode(FaultProxy::Mode::pass); });
+}
+
+void Fleet::move_log(int invoker, Millis late) {
+  constexpr Millis kOldCloses{1500};
+  LogAccess& access = log_proxies_[static_cast<std::size_t>(invoker)];
+  const Millis now = clock_();
+  if (now < access.out_until) return;
+  FaultProxy* const old = access.current;
+  access.proxies.push_back(std::make_unique<FaultProxy>(loop_, pool_, log_.address(invoker)));
+  access.current = access.proxies.back().get();
+  FaultProxy* const current = access.current;
+  access.out_until = now + std::max(late, kOldCloses);
+  record_.outages.push_back({invoker, LogFault::moved, now, access.out_until});
+  old->set_mode(FaultProxy::Mode::silent);
+  after(kOldCloses, [old] { old->set_mode(FaultProxy::Mode::refuse); });
+  if (late.count() <= 0) return;
+  current->set_mode(FaultProxy::Mode::refuse);
+  after(late, [current] { current->set_mode(FaultProxy::Mode::pass); });
+}
+
+void Fleet::apply(const LogDelayFault& fault) {
+  for (LogAccess& access : log_proxies_) {
+    FaultProxy* const proxy = access.current;
+    proxy->set_delay(fault.delay);
+    after(fault.length, [proxy] { proxy->set_delay(Millis(0)); });
+  }
+}
+
+void Fleet::apply(const LogBreakFault&) {
+  for (LogAccess& access : log_proxies_) access.current->break_connections();
+}
+
+void Fleet::apply(const DrainFault& fault) {
+  const auto place = static_cast<std::size_t>(fault.host);
+  if (host_busy_[place]) return;
+  host_busy_[place] = true;
+  host(fault.host).drain();
+  after(fault.notice,
+        [this, fault] { log_.append({row_of(host(fault.host), MemberState::draining, false)}); });
+  after(fault.gone_after, [this, fault] {
+    host(fault.host).stop();
+    log_.append({row_of(host(fault.host), MemberState::gone, false)});
+  });
+  if (fault.back_after.count() <= 0) return;
+  after(fault.gone_after + fault.back_after, [this, fault] { come_back(fault.host); });
+}
+
+void Fleet::apply(const CrashFault& fault) {
+  const auto place = static_cast<std::size_t>(fault.host);
+  if (host_busy_[place]) return;
+  host_busy_[place] = true;
+  host(fault.host).stop();
+  after(fault.notice, [this, fault] { log_.append({row_of(host(fault.host), MemberState::gone, false)}); });
+  after(fault.notice + fault.back_after, [this, fault] { come_back(fault.host); });
+}
+
+void Fleet::come_back(int index) {
+  host(index).start();
+  log_.append({row_of(host(index), MemberState::ready, true)});
+  host_busy_[static_cast<std::size_t>(index)] = false;
+}
+
+void Fleet::apply(const HostFaultSpan& fault) {
+  WorkerHost* const faulty = &host(fault.host);
+  faulty->set_fault(fault.fault);
+  after(fault.length, [faulty] { faulty->set_fault(HostFault::none); });
+}
+
+}  // namespace pathstack::soak
--- /dev/null
+++ b/tests/soak/fleet.h
@@ -0,0 +1,66 @@
+// The workers, the membership log and the proxies in front of it.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fault_proxy.h"
+#include "membership_log.h"
+#include "net/loop.h"
+#include "record.h"
+#include "schedule.h"
+#include "worker_host.h"
+
+namespace pathstack::soak {
+
+/// All that the invokers of a run talk to, but for clients. Destroyed before the loop.
+class Fleet {
+ public:
+  Fleet(net::Loop& loop, net::BufferPool& pool, Record& record, std::function<Millis()> clock,
+        const Deployment& deployment, std::uint64_t seed);
+  Fleet(const Fleet&) = delete;
+  Fleet& operator=(const Fleet&) = delete;
+
+  /// Where invoker `invoker` is to ask for the log's events.
+  const std::string& log_address(int invoker) const { return log_proxies_[invoker].current->address(); }
+  nlohmann::json known_events(int invoker) const { return log_.known(invoker); }
+
+  void apply(const LogOutageFault& fault);
+  void apply(const LogDelayFault& fault);
+  void apply(const LogBreakFault& fault);
+  void apply(const DrainFault& fault);
+  void apply(const CrashFault& fault);
+  void apply(const HostFaultSpan& fault);
+
+  /// The log goes on at a new address for the invoker, which refuses for `late`. The old one tells nothing
+  /// further, takes no new connection and closes its own 1.5 s later. The caller sends SIGHUP.
+  void move_log(int invoker, Millis late);
+
+ private:
+  struct LogAccess {
+    std::vector<std::unique_ptr<FaultProxy>> proxies;  // of all addresses so far
+    FaultProxy* current = nullptr;
+    Millis out_until{0};
+  };
+
+  net::Loop& loop_;
+  net::BufferPool& pool_;
+  Record& record_;
+  std::function<Millis()> clock_;
+  Deployment deployment_;
+  std::vector<std::unique_ptr<WorkerHost>> hosts_;
+  std::vector<bool> host_busy_;  // it drains, is gone or is about to come back
+  MembershipLog log_;
+  std::vector<LogAccess> log_proxies_;
+
+  MemberRow row_of(const WorkerHost& host, MemberState state, bool restarted) const;
+  WorkerHost& host(int index) { return *hosts_[static_cast<std::size_t>(index)]; }
+  void after(Millis delay, std::function<void()> callback);
+  void begin_outage(int invoker, LogFault fault, Millis length);
+  void come_back(int index);
+};
+
+}  // namespace pathstack::soak
--- /dev/null
+++ b/tests/soak/invoker_slot.h
@@ -0,0 +1,93 @@
+// One place of an invoker: its processes one after the other, its configuration and its clients.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "call_client.h"
+#include "fault_control_file.h"
+#include "fleet.h"
+#include "invoker_process.h"
+#include "net/loop.h"
+#include "record.h"
+#include "schedule.h"
+
+namespace pathstack::soak {
+
+/// What a slot needs to start its program.
+struct ProgramFiles {
+  std::string program;        // path of the invoker
+  std::string fault_library;  // path of the library to preload
+  std::string folder;         // for configuration, log and control files
+};
+
+/// Starts the program, restarts it as the schedule says, and sends calls to it all the time. Destroyed before
+/// the loop.
+class InvokerSlot {
+ public:
+  InvokerSlot(net::Loop& loop, net::BufferPool& pool, Record& record, std::function<Millis()> clock,
+              Fleet& fleet, const Deployment& deployment, const ProgramFiles& files, int index,
+              std::uint64_t seed);
+  InvokerSlot(const InvokerSlot&) = delete;
+  InvokerSlot& operator=(const InvokerSlot&) = delete;
+
+  void start();
+  /// True once the process that runs has said that it is up.
+  bool is_ready() const;
+  /// Sends calls from now on.
+  void begin_traffic();
+  /// No call is sent any more.
+  void end_traffic() { traffic_on_ = false; }
+
+  void apply(const SignalFault& fault);
+  void apply(const ClientFault& fault);
+  void step_wall_clock(Millis by);
+  void fail_system_calls(int per_mille) {
+    control_.control().failures_per_mille = static_cast<unsigned>(per_mille);
+  }
+
+ private:
+  net::Loop& loop_;
+  net::BufferPool& pool_;
+  Record& record_;
+  std::function<Millis()> clock_;
+  Fleet& fleet_;
+  Deployment deployment_;
+  ProgramFiles files_;
+  int index_;
+  std::mt19937_64 random_;
+  std::string config_path_, log_path_;
+  std::string address_ = "127.0.0.1:0";  // with the port of the first start from then on
+  FaultControlFile control_;
+  std::unique_ptr<InvokerProcess> process_;
+  std::size_t life_ = 0;  // in the record
+  std::size_t log_read_ = 0;
+  std::shared_ptr<CallClient> checker_;
+  std::vector<std::shared_ptr<CallClient>> clients_;
+  std::vector<std::shared_ptr<CallClient>> crowd_;
+  bool traffic_on_ = false;
+  std::uint64_t calls_ = 0;
+
+  InvokerLife& life() { return record_.lives[life_]; }
+  void after(Millis delay, std::function<void()> callback);
+  void write_config();
+  void watch();
+  void look_for_address();
+  void look_for_ready();
+  void sample_resources();
+  void process_ended();
+  void terminate();
+  void kill_now();
+  bool may_connect();
+  CallClient* free_client();
+  std::shared_ptr<CallClient> connect();
+  void call(bool again = false, const CallRequest* request = nullptr);
+  CallRequest next_request();
+  void schedule_call();
+  double fraction() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+};
+
+}  // namespace pathstack::soak
--- /dev/null
+++ b/tests/soak/judge/judge.cpp
@@ -0,0 +1,29 @@
+#include "judge/judge.h"
+
+#include <algorithm>
+
+#include "judge/answer_rule.h"
+#include "judge/attempt_rule.h"
+#include "judge/drain_rule.h"
+#include "judge/load_budget_rule.h"
+#include "judge/process_rule.h"
+#include "judge/resource_rule.h"
+#include "judge/service_rule.h"
+
+namespace pathstack::soak {
+
+BrokenRules judge(const Record& record) {
+  constexpr BrokenRules (*kRules[])(const Record&) = {check_drains,      check_answers,   check_attempts,
+                                                      check_load_budget, check_processes, check_resources,
+                                                      check_service};
+  BrokenRules all;
+  for (const auto rule : kRules) {
+    const BrokenRules broken = rule(record);
+    all.insert(all.end(), broken.begin(), broken.end());
+  }
+  std::stable_sort(all.begin(), all.end(),
+                   [](const BrokenRule& a, const BrokenRule& b) { return a.at < b.at; });
+  return all;
+}
+
+}  // namespace pathstack::soak
--- /dev/null
+++ b/tests/soak/judge/load_budget_rule.cpp
@@ -0,0 +1,41 @@
+#include "judge/load_budget_rule.h"
+
+#include <algorithm>
+
+namespace pathstack::soak {
+namespace {
+
+constexpr double kSocketFactor = 1.15;
+constexpr double kSocketOrders = 1;
+
+bool is_load(const HostRequest& request) {
+  return request.kind == HostRequest::Kind::load_order && request.instances > 0;
+}
+
+}  // namespace
+
+BrokenRules check_load_budget(const Record& record) {
+  BrokenRules broken;
+  const RuleSettings& rules = record.rules;
+  for (const HostRequest& order : record.requests) {
+    if (!is_load(order)) continue;
+    const Millis at = order.complete;
+    const Millis slack = record.slack_at(at);
+    const auto calls = std::count_if(record.calls.begin(), record.calls.end(), [&](const Call& call) {
+      return call.invoker == order.invoker && call.sent <= at && call.sent > at - rules.load_window - slack;
+    });
+    const auto orders =
+        std::count_if(record.requests.begin(), record.requests.end(), [&](const HostRequest& other) {
+          return is_load(other) && other.invoker == order.invoker && other.complete <= at &&
+                 other.complete > at - rules.load_window + slack;
+        });
+    const double budget = rules.load_floor + rules.load_ratio * static_cast<double>(calls);
+    if (static_cast<double>(orders) <= budget * kSocketFactor + kSocketOrders) continue;
+    broken.push_back({"load_budget", at,
+                      std::to_string(orders) + " orders of invoker " + std::to_string(order.invoker) +
+                          " for " + std::to_string(calls) + " calls"});
+  }
+  return broken;
+}
+
+}  // namespace pathstack::soak
--- /dev/null
+++ b/tests/soak/judge_test.cpp
@@ -0,0 +1,222 @@
+// Each rule of the judge is given a record with one break, and one without.
+#include "judge/judge.h"
+
+#include <catch2/catch.hpp>
+
+#include "judge/answer_rule.h"
+#include "judge/attempt_rule.h"
+#include "judge/drain_rule.h"
+#include "judge/load_budget_rule.h"
+#include "judge/process_rule.h"
+#include "judge/resource_rule.h"
+#include "judge/service_rule.h"
+
+namespace pathstack::soak {
+namespace {
+
+// One call, served by one attempt.
+Record sound_record() {
+  Record record;
+  record.length = Millis(20000);
+  Call call;
+  call.ref = "a1";
+  call.sent = Millis(5000);
+  call.allowed = Millis(1000);
+  call.answers.push_back({Millis(5100), "OK", "a1"});
+  record.calls.push_back(call);
+  HostRequest attempt;
+  attempt.worker = "s-1";
+  attempt.ref = "a1";
+  attempt.timeout = Millis(990);
+  attempt.first_byte = attempt.complete = Millis(5010);
+  attempt.answer = "data";
+  attempt.ended = Millis(5090);
+  record.requests.push_back(attempt);
+  return record;
+}
+
+HostRequest load_order(Millis at, int instances) {
+  HostRequest order;
+  order.kind = HostRequest::Kind::load_order;
+  order.worker = "s-1";
+  order.instances = instances;
+  order.first_byte = order.complete = at;
+  return order;
+}
+
+void names_only(const BrokenRules& broken, const std::string& rule) {
+  REQUIRE_FALSE(broken.empty());
+  for (const BrokenRule& each : broken) CHECK(each.rule == rule);
+}
+
+}  // namespace
+
+TEST_CASE("a sound record breaks no rule") { CHECK(judge(sound_record()).empty()); }
+
+TEST_CASE("the time at which an event counts as told follows the pages' clocks") {
+  Record record;
+  SECTION("at once while the log is in reach") {
+    CHECK(counts_as_told(record, 0, Millis(700)) == Millis(700));
+  }
+  SECTION("2 s after a break") {
+    record.outages = {{0, LogFault::refused, Millis(500), Millis(9000)}};
+    CHECK(counts_as_told(record, 0, Millis(700)) == Millis(2500));
+    CHECK(counts_as_told(record, 1, Millis(700)) == Millis(700));
+  }
+  SECTION("4 s after a stop or a move, but not before the event itself") {
+    const auto fault = GENERATE(LogFault::silent, LogFault::cut, LogFault::moved);
+    record.outages = {{0, fault, Millis(500), Millis(9000)}};
+    CHECK(counts_as_told(record, 0, Millis(700)) == Millis(4500));
+    CHECK(counts_as_told(record, 0, Millis(6000)) == Millis(6000));
+  }
+  SECTION("as soon as the invoker's next question has reached the log") {
+    record.outages = {{0, LogFault::silent, Millis(500), Millis(1000)}};
+    record.asks = {{0, Millis(600)}, {0, Millis(1200)}, {1, Millis(800)}};
+    CHECK(counts_as_told(record, 0, Millis(700)) == Millis(1200));
+  }
+}
+
+TEST_CASE("a call or a load order past the grace after a drain was told is named") {
+  Record record = sound_record();
+  record.changes = {{Millis(0), "s-1", MemberState::ready}, {Millis(4600), "s-1", MemberState::draining}};
+  SECTION("a call") { names_only(judge(record), "drain"); }
+  SECTION("removed without a drain") {
+    record.changes[1].state = MemberState::gone;
+    names_only(judge(record), "drain");
+  }
+  SECTION("the removal after a drain begins no new grace") {
+    record.changes.push_back({Millis(4990), "s-1", MemberState::gone});
+    names_only(judge(record), "drain");
+  }
+  SECTION("within the grace and the slack") {
+    record.changes[1].at = Millis(4720);
+    CHECK(judge(record).empty());
+  }
+  SECTION("back by then") {
+    record.changes.push_back({Millis(5000), "s-1", MemberState::ready});
+    CHECK(judge(record).empty());
+  }
+  SECTION("an order to load, but not one that only asks") {
+    record.requests[0].first_byte = record.requests[0].complete = Millis(4600);
+    record.requests[0].timeout = Millis(900);
+    record.requests.push_back(load_order(Millis(5000), 0));
+    CHECK(check_drains(record).empty());
+    record.requests.push_back(load_order(Millis(5000), 1));
+    names_only(check_drains(record), "drain");
+  }
+}
+
+TEST_CASE("a call without one whole answer in its time is named") {
+  Record record = sound_record();
+  Call& call = record.calls[0];
+  SECTION("none") { call.answers.clear(); }
+  SECTION("two") { call.answers.push_back(call.answers[0]); }
+  SECTION("late") { call.answers[0].at = Millis(6100); }
+  SECTION("after the client left") { call.left = Millis(5030); }
+  SECTION("with what no host made") { call.answers[0].body = "b2"; }
+  SECTION("served though no host served it") { record.requests[0].answer = "full"; }
+  names_only(check_answers(record), "answer");
+}
+
+TEST_CASE("a call whose process was killed is owed no answer") {
+  Record record = sound_record();
+  record.calls[0].answers.clear();
+  InvokerLife life;
+  life.ready = Millis(10);
+  life.killed = life.ended = Millis(5050);
+  record.lives.push_back(life);
+  CHECK(judge(record).empty());
+  record.lives[0].killed = record.lives[0].ended = Millis(4000);
+  names_only(check_answers(record), "answer");
+}
+
+TEST_CASE("attempts that the rules forbid are named") {
+  Record record = sound_record();
+  HostRequest second = record.requests[0];
+  second.first_byte = second.complete = Millis(5200);
+  second.timeout = Millis(500);
+  second.ended = Millis(5250);
+  SECTION("after the client left") { record.calls[0].left = Millis(4800); }
+  SECTION("with more time than the client has") { record.requests[0].timeout = Millis(1300); }
+  SECTION("of a class that may run once, after one that may have run") {
+    record.calls[0].semantics = Semantics::once;
+    record.requests[0].answer = "failed";
+    record.requests.push_back(second);
+  }
+  SECTION("two at once") {
+    record.requests[0].ended.reset();
+    record.requests.push_back(second);
+  }
+  SECTION("too many") {
+    record.rules.send_cap = 1;
+    record.requests.push_back(second);
+  }
+  names_only(check_attempts(record), "attempt");
+}
+
+TEST_CASE("attempts one after the other, and one that never ran, are sound") {
+  Record record = sound_record();
+  record.calls[0].semantics = Semantics::once;
+  HostRequest second = record.requests[0];
+  second.first_byte = second.complete = Millis(5200);
+  second.timeout = Millis(500);
+  record.requests[0].answer = "full";
+  record.requests.push_back(second);
+  CHECK(check_attempts(record).empty());
+}
+
+TEST_CASE("load orders over the budget are named") {
+  Record record = sound_record();
+  // A floor of 3 and 0.15 of one call, 15 in 100 more and one order: four are allowed.
+  for (int i = 0; i < 4; ++i) record.requests.push_back(load_order(Millis(5000 + i), 1));
+  CHECK(check_load_budget(record).empty());
+  record.requests.push_back(load_order(Millis(5010), 0));
+  CHECK(check_load_budget(record).empty());
+  record.requests.push_back(load_order(Millis(5010), 1));
+  names_only(check_load_budget(record), "load_budget");
+}
+
+TEST_CASE("processes that crash, end badly or are not ready in time are named") {
+  Record record = sound_record();
+  InvokerLife life;
+  life.ready = Millis(100);
+  SECTION("crash") { life.ended = Millis(3000); }
+  SECTION("bad status") {
+    life.terminated = Millis(2000);
+    life.ended = Millis(3000);
+    life.exit_status = 1;
+  }
+  SECTION("late") { life.ready = Millis(10500); }
+  SECTION("never ready") { life.ready.reset(); }
+  record.lives.push_back(life);
+  names_only(check_processes(record), "process");
+}
+
+TEST_CASE("a process over its limits is named") {
+  Record record = sound_record();
+  SECTION("memory") { record.samples.push_back({0, Millis(100), 129, 10}); }
+  SECTION("descriptors") { record.samples.push_back({0, Millis(100), 10, 513}); }
+  names_only(check_resources(record), "resources");
+}
+
+TEST_CASE("two seconds with calls of which none is served are named") {
+  Record record = sound_record();
+  for (int i = 0; i < 20; ++i) {
+    Call call;
+    call.ref = "c" + std::to_string(i);
+    call.sent = Millis(10000 + i);
+    call.allowed = Millis(500);
+    call.answers.push_back({Millis(10200), "BUSY", ""});
+    record.calls.push_back(call);
+  }
+  names_only(check_service(record), "service");
+}
+
+TEST_CASE("what a stall of the recorder may have made late is not held against the invoker") {
+  Record record = sound_record();
+  record.changes = {{Millis(0), "s-1", MemberState::ready}, {Millis(4600), "s-1", MemberState::draining}};
+  record.stalls.push_back({Millis(4800), Millis(5005)});
+  CHECK(check_drains(record).empty());
+}
+
+}  // namespace pathstack::soak
--- /dev/null
+++ b/tests/soak/listener.h
@@ -0,0 +1,68 @@
+// A listening socket of a stand-in.
+#pragma once
+
+#include <poll.h>
+
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+#include "net/loop.h"
+#include "net/socket.h"
+
+namespace pathstack::soak {
+
+/// Accepts connections on an address that stays the same while it is closed and opened again. Destroyed
+/// before the loop.
+class Listener final : public net::Handler {
+ public:
+  using OnAccept = std::function<void(net::Socket)>;
+
+  /// Opens a port that the kernel chooses on 127.0.0.1. Throws std::runtime_error if there is none.
+  Listener(net::Loop& loop, OnAccept on_accept) : loop_(loop), on_accept_(std::move(on_accept)) {
+    open("127.0.0.1:0");
+    address_ = net::bound_address(socket_);
+  }
+  ~Listener() override { close(); }
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+  const std::string& address() const { return address_; }
+
+  /// Connections are refused from now on.
+  void close() {
+    if (!socket_) return;
+    loop_.forget(socket_.fd(), *this);
+    socket_.close();
+  }
+  /// Takes connections again; no effect if it does.
+  void reopen() {
+    if (!socket_) open(address_);
+  }
+
+  void ready(short) override {
+    while (socket_) {
+      net::AcceptResult result = net::accept_from(socket_);
+      if (result.status == net::AcceptStatus::connection_failed) continue;
+      if (result.status != net::AcceptStatus::accepted) return;
+      on_accept_(std::move(result.socket));
+    }
+  }
+
+ private:
+  net::Loop& loop_;
+  OnAccept on_accept_;
+  net::Socket socket_;
+  std::string address_;
+
+  void open(const std::string& address) {
+    net::ListenResult result = net::listen_on(address);
+    if (!result.socket)
+      throw std::runtime_error("cannot listen on " + address + ": " + result.error.message());
+    socket_ = std::move(result.socket);
+    loop_.watch(socket_.fd(), *this, POLLIN);
+  }
+};
+
+}  // namespace pathstack::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,235 @@
+// The soak: plays schedules of faults against real processes, and judges what was seen by the platform's
+// rules.
+#include <stdlib.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <regex>
+
+#include "judge/judge.h"
+#include "judge/service_rule.h"
+#include "run.h"
+#include "schedule.h"
+
+namespace pathstack::soak {
+namespace {
+
+constexpr int kWrongUsage = 2;
+constexpr std::size_t kMostShown = 12;  // broken rules of one seed
+volatile bool stop_requested = false;
+
+extern "C" void request_stop(int) { stop_requested = true; }
+
+struct Options {
+  std::string seeds = "1";
+  double seconds = 30;
+  int invokers = 0, hosts = 0;
+  std::string kinds;
+  std::string schedule;
+  std::string keep_logs;
+  std::string json_path;
+  std::string program = PATHSTACK_INVOKER;
+  std::string fault_library = PATHSTACK_FAULT_LIBRARY;
+  bool dry_run = false;
+};
+
+struct SeedResult {
+  std::string name;
+  std::size_t calls = 0, served = 0;
+  int worst_second = 100;  // lowest share served of a second with calls enough, in percent
+  Millis longest_stall{0};
+  BrokenRules broken;
+  std::string error;  // the schedule could not be played
+};
+
+// Removed with its owner, unless the logs are kept.
+class WorkFolder {
+ public:
+  WorkFolder(const std::string& keep, const std::string& name) : kept_(!keep.empty()) {
+    if (kept_) {
+      path_ = keep + "/" + name;
+      std::filesystem::create_directories(path_);
+      return;
+    }
+    std::string pattern = std::filesystem::temp_directory_path().string() + "/pathstack-soak-XXXXXX";
+    if (mkdtemp(pattern.data()) == nullptr) throw std::runtime_error("cannot make a temporary folder");
+    path_ = pattern;
+  }
+  ~WorkFolder() {
+    std::error_code ignored;
+    if (!kept_) std::filesystem::remove_all(path_, ignored);
+  }
+  WorkFolder(const WorkFolder&) = delete;
+  WorkFolder& operator=(const WorkFolder&) = delete;
+  const std::string& path() const { return path_; }
+
+ private:
+  bool kept_;
+  std::string path_;
+};
+
+SeedResult result_of(const Schedule& schedule, const Record& record) {
+  constexpr int kEnoughCalls = 10;
+  SeedResult result;
+  result.name = schedule.name;
+  for (const ServedWindow& window : served_by_second(record)) {
+    result.calls += static_cast<std::size_t>(window.calls);
+    result.served += static_cast<std::size_t>(window.served);
+    if (window.calls >= kEnoughCalls) {
+      result.worst_second = std::min(result.worst_second, 100 * window.served / window.calls);
+    }
+  }
+  for (const Stall& stall : record.stalls) {
+    result.longest_stall = std::max(result.longest_stall, stall.to - stall.from);
+  }
+  result.broken = judge(record);
+  return result;
+}
+
+SeedResult play_one(const Schedule& schedule, const Options& options) {
+  try {
+    const WorkFolder folder(options.keep_logs, schedule.name);
+    const Record record =
+        play(schedule, {options.program, options.fault_library, folder.path()}, stop_requested);
+    return result_of(schedule, record);
+  } catch (const std::exception& error) {
+    SeedResult result;
+    result.name = schedule.name;
+    result.error = error.what();
+    return result;
+  }
+}
+
+void print(const SeedResult& result) {
+  const double share =
+      result.calls == 0 ? 0 : 100.0 * static_cast<double>(result.served) / static_cast<double>(result.calls);
+  std::printf(
+      "%-28s calls %6zu  served %5.1f%%  worst second %3d%%  recorder's longest stall %3.0f ms  broken "
+      "%zu%s%s\n",
+      result.name.c_str(), result.calls, share, result.worst_second, result.longest_stall.count(),
+      result.broken.size(), result.error.empty() ? "" : "  ERROR ", result.error.c_str());
+  std::map<std::string, std::size_t> by_rule;
+  for (const BrokenRule& broken : result.broken) ++by_rule[broken.rule];
+  for (const auto& [rule, count] : by_rule) std::printf("    rule %s: %zu\n", rule.c_str(), count);
+  for (std::size_t i = 0; i < std::min(kMostShown, result.broken.size()); ++i) {
+    const BrokenRule& broken = result.broken[i];
+    std::printf("    %9.1f ms %s: %s\n", broken.at.count(), broken.rule.c_str(), broken.what.c_str());
+  }
+  std::fflush(stdout);
+}
+
+nlohmann::json json_of(const SeedResult& result) {
+  nlohmann::json broken = nlohmann::json::array();
+  for (const BrokenRule& rule : result.broken) {
+    broken.push_back({{"rule", rule.rule}, {"at_ms", rule.at.count()}, {"what", rule.what}});
+  }
+  return {{"schedule", result.name},
+          {"calls", result.calls},
+          {"served", result.served},
+          {"worst_second_percent", result.worst_second},
+          {"longest_stall_ms", result.longest_stall.count()},
+          {"broken", broken},
+          {"error", result.error}};
+}
+
+// N, or A-B.
+std::optional<std::pair<std::uint64_t, std::uint64_t>> seed_range(const std::string& text) {
+  std::smatch match;
+  if (!std::regex_match(text, match, std::regex("([0-9]{1,9})(-([0-9]{1,9}))?"))) return std::nullopt;
+  const std::uint64_t first = std::stoull(match[1]);
+  const std::uint64_t last = match[3].matched ? std::stoull(match[3]) : first;
+  if (last < first) return std::nullopt;
+  return std::pair(first, last);
+}
+
+std::optional<std::vector<FaultKind>> read_kinds(const std::string& text) {
+  if (text.empty()) return all_kinds();
+  std::vector<FaultKind> kinds;
+  std::stringstream words(text);
+  for (std::string word; std::getline(words, word, '+');) {
+    const auto kind = kind_named(word);
+    if (!kind) return std::nullopt;
+    kinds.push_back(*kind);
+  }
+  return kinds;
+}
+
+// Nothing, and the fault named on standard error, if the options cannot be used.
+std::optional<std::vector<Schedule>> schedules_of(const Options& options) {
+  if (!options.schedule.empty()) {
+    const auto schedule = named_schedule(options.schedule);
+    if (!schedule) {
+      std::cerr << "soak: no schedule is called " << options.schedule << '\n';
+      return std::nullopt;
+    }
+    return std::vector<Schedule>{*schedule};
+  }
+  const auto seeds = seed_range(options.seeds);
+  const auto kinds = read_kinds(options.kinds);
+  if (!seeds) std::cerr << "soak: --seeds takes N or A-B, not " << options.seeds << '\n';
+  if (!kinds) std::cerr << "soak: --kind takes kinds joined by +, not " << options.kinds << '\n';
+  if (!seeds || !kinds) return std::nullopt;
+  DrawOptions draw;
+  draw.length = Millis(options.seconds * 1000);
+  draw.kinds = *kinds;
+  if (options.invokers > 0) draw.invokers = options.invokers;
+  if (options.hosts > 0) draw.hosts = options.hosts;
+  std::vector<Schedule> schedules;
+  for (std::uint64_t seed = seeds->first; seed <= seeds->second; ++seed) {
+    schedules.push_back(draw_schedule(seed, draw));
+  }
+  return schedules;
+}
+
+int run(const Options& options) {
+  const auto schedules = schedules_of(options);
+  if (!schedules) return kWrongUsage;
+  nlohmann::json report = nlohmann::json::array();
+  std::size_t failed = 0;
+  for (const Schedule& schedule : *schedules) {
+    if (options.dry_run) {
+      std::cout << describe(schedule);
+      continue;
+    }
+    if (stop_requested) break;
+    const SeedResult result = play_one(schedule, options);
+    print(result);
+    report.push_back(json_of(result));
+    failed += !result.broken.empty() || !result.error.empty() ? 1 : 0;
+  }
+  if (options.dry_run) return 0;
+  std::printf("%zu schedules played, %zu failed\n", report.size(), failed);
+  if (!options.json_path.empty()) std::ofstream(options.json_path) << report.dump(2) << '\n';
+  return failed == 0 && !stop_requested ? 0 : 1;
+}
+
+}  // namespace
+}  // namespace pathstack::soak
+
+int main(int argc, char** argv) {
+  using namespace pathstack::soak;
+  Options options;
+  CLI::App app("Plays schedules of faults against real invokers and judges what was seen.");
+  app.add_option("--seed,--seeds", options.seeds, "seed N, or seeds A-B");
+  app.add_option("--seconds", options.seconds, "length of each drawn schedule")->check(CLI::Range(2, 600));
+  app.add_option("--invokers", options.invokers, "processes; else drawn")->check(CLI::Range(1, 50));
+  app.add_option("--hosts", options.hosts, "stand-in workers; else drawn")->check(CLI::Range(4, 60));
+  app.add_option("--kind", options.kinds, "discovery, drains, hosts, signals, clients, machine; joined by +");
+  app.add_option("--schedule", options.schedule, "a schedule with a name, in place of seeds");
+  app.add_option("--keep-logs", options.keep_logs, "folder for the invokers' logs");
+  app.add_option("--json", options.json_path, "file for the report");
+  app.add_option("--program", options.program, "the invoker to test");
+  app.add_flag("--dry-run", options.dry_run, "print the schedules and play none");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) { return app.exit(error) == 0 ? 0 : kWrongUsage; }
+  std::signal(SIGINT, request_stop);
+  std::signal(SIGTERM, request_stop);
+  std::signal(SIGPIPE, SIG_IGN);
+  return run(options);
+}
--- /dev/null
+++ b/tests/soak/membership_log.cpp
@@ -0,0 +1,124 @@
+#include "membership_log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pathstack::soak {
+namespace {
+
+constexpr Millis kNumberInterval{1000};
+
+const char* phase_of(MemberState state) {
+  switch (state) {
+    case MemberState::ready: return "ready";
+    case MemberState::draining: return "draining";
+    case MemberState::gone: break;
+  }
+  return "gone";
+}
+
+}  // namespace
+
+// A connection of an invoker, by way of its proxy.
+class MembershipLog::Peer final : public net::Stream {
+ public:
+  Peer(MembershipLog& log, int invoker, net::Socket socket)
+      : Stream(log.loop_, log.pool_, std::move(socket), false), log_(log), invoker_(invoker) {}
+  bool asked() const { return asked_; }
+
+ private:
+  MembershipLog& log_;
+  int invoker_;
+  std::string line_;
+  bool asked_ = false;
+
+  void received(std::string_view bytes) override {
+    line_ += bytes;
+    const auto end = line_.find('\n');
+    if (asked_ || end == std::string::npos) return;
+    asked_ = true;
+    log_.answer(*this, invoker_, std::stoull(line_.substr(line_.find(' ') + 1, end)));
+  }
+  void ended() override { log_.peer_ended(*this, invoker_); }
+};
+
+MembershipLog::MembershipLog(net::Loop& loop, net::BufferPool& pool, Record& record,
+                             std::function<Millis()> clock, int invokers, AddressOf address_of)
+    : loop_(loop),
+      pool_(pool),
+      record_(record),
+      clock_(std::move(clock)),
+      address_of_(std::move(address_of)) {
+  for (int invoker = 0; invoker < invokers; ++invoker) {
+    Front& front = fronts_[invoker];
+    front.listener = std::make_unique<Listener>(loop, [this, invoker](net::Socket socket) {
+      fronts_[invoker].peers.push_back(std::make_shared<Peer>(*this, invoker, std::move(socket)));
+    });
+  }
+  send_numbers();
+}
+
+MembershipLog::~MembershipLog() { loop_.cancel(number_timer_); }
+
+const std::string& MembershipLog::address(int invoker) const {
+  return fronts_.at(invoker).listener->address();
+}
+
+void MembershipLog::append(std::vector<MemberRow> rows) {
+  for (const MemberRow& row : rows) record_.changes.push_back({clock_(), row.worker, row.state});
+  events_.push_back(std::move(rows));
+  for (auto& [invoker, front] : fronts_) {
+    const std::string line = event(events_.size() - 1, invoker).dump() + "\n";
+    for (const auto& peer : front.peers) {
+      if (peer->asked()) peer->write(line);
+    }
+  }
+}
+
+nlohmann::json MembershipLog::event(std::size_t index, int invoker) const {
+  nlohmann::json members = nlohmann::json::array();
+  for (const MemberRow& row : events_[index]) {
+    members.push_back({{"id", row.worker},
+                       {"host_port", address_of_(row.worker, invoker)},
+                       {"locality", row.zone},
+                       {"flavor", "std"},
+                       {"cell", 0},
+                       {"phase", phase_of(row.state)},
+                       {"size", 1},
+                       {"up_since_ms", row.started_unix_ms}});
+  }
+  return {{"seq", index + 1},
+          {"fleet", {{"revision", index + 1}, {"complete", index == 0}, {"members", members}}}};
+}
+
+nlohmann::json MembershipLog::known(int invoker) const {
+  nlohmann::json results = nlohmann::json::array();
+  for (std::size_t i = 0; i < events_.size(); ++i) results.push_back(event(i, invoker));
+  return {{"seq", events_.size()}, {"results", results}};
+}
+
+void MembershipLog::answer(Peer& peer, int invoker, std::uint64_t since) {
+  record_.asks.push_back({invoker, clock_()});
+  for (std::size_t i = since; i < events_.size(); ++i) peer.write(event(i, invoker).dump() + "\n");
+}
+
+void MembershipLog::peer_ended(Peer& peer, int invoker) {
+  auto& peers = fronts_.at(invoker).peers;
+  const auto found =
+      std::find_if(peers.begin(), peers.end(), [&](const auto& other) { return other.get() == &peer; });
+  if (found == peers.end()) return;
+  loop_.defer_destruction(*found);
+  peers.erase(found);
+}
+
+void MembershipLog::send_numbers() {
+  const std::string line = std::to_string(events_.size()) + "\n";
+  for (auto& [invoker, front] : fronts_) {
+    for (const auto& peer : front.peers) {
+      if (peer->asked()) peer->write(line);
+    }
+  }
+  number_timer_ = loop_.at(loop_.now() + kNumberInterval, [this] { send_numbers(); });
+}
+
+}  // namespace pathstack::soak
--- /dev/null
+++ b/tests/soak/schedule.cpp
@@ -0,0 +1,352 @@
+#include "schedule.h"
+
+#include <algorithm>
+#include <array>
+#include <random>
+#include <sstream>
+
+namespace pathstack::soak {
+namespace {
+
+constexpr double kOutageLeast = 200, kOutageMost = 20000;  // ms
+
+class Draw {
+ public:
+  explicit Draw(std::uint64_t seed) : engine_(seed) {}
+
+  /// At least `least`, below `most`. Written out, as the standard's distributions differ between libraries.
+  double real(double least, double most) {
+    return least + (most - least) * (static_cast<double>(engine_() >> 11) * 0x1p-53);
+  }
+  Millis span(double least, double most) { return Millis(real(least, most)); }
+  int whole(int least, int most) {
+    return least + static_cast<int>(engine_() % static_cast<std::uint64_t>(most - least + 1));
+  }
+  bool one_in(int n) { return whole(1, n) == 1; }
+  template <typename T, std::size_t N>
+  T one_of(const std::array<T, N>& values) {
+    return values[static_cast<std::size_t>(whole(0, static_cast<int>(N) - 1))];
+  }
+
+ private:
+  std::mt19937_64 engine_;
+};
+
+Deployment draw_deployment(Draw& draw, const DrawOptions& options) {
+  Deployment d;
+  d.invokers = options.invokers.value_or(draw.whole(2, 4));
+  d.hosts = options.hosts.value_or(draw.whole(6, 10));
+  d.zones = draw.whole(1, 3);
+  d.functions = draw.whole(8, 40);
+  d.calls_per_second = draw.real(20, 60);
+  d.allowed_repeatable = draw.span(300, 2500);
+  d.allowed_once = draw.span(500, 3000);
+  d.send_cap = draw.whole(1, 5);
+  d.probes = !draw.one_in(6);
+  d.descriptors = draw.one_in(3) ? 256 : 512;
+  d.times.load = draw.span(30, 150);
+  return d;
+}
+
+// Drains and crashes befall the first half of the hosts, faults the second without the last one: so a worker
+// that may be used is always left.
+int drainable_host(Draw& draw, const Deployment& d) { return draw.whole(0, d.hosts / 2 - 1); }
+int faulty_host(Draw& draw, const Deployment& d) { return draw.whole(d.hosts / 2, d.hosts - 2); }
+
+DrainFault draw_drain(Draw& draw, const Deployment& d) {
+  DrainFault drain;
+  drain.host = drainable_host(draw, d);
+  drain.notice = draw.span(0, 800);
+  drain.gone_after = drain.notice + draw.span(300, 8000);
+  drain.back_after = draw.one_in(4) ? Millis(0) : draw.span(20, 3000);
+  return drain;
+}
+
+void draw_discovery(Draw& draw, const DrawOptions& options, const Deployment& d, bool with_drains,
+                    std::vector<TimedFault>& faults) {
+  constexpr std::array<LogFault, 3> kFaults{LogFault::refused, LogFault::silent, LogFault::cut};
+  for (Millis at = draw.span(500, 3000); at < options.length - Millis(1500);) {
+    const double longest = std::min(kOutageMost, (options.length - at).count());
+    // Short ones as often as long ones.
+    const double share = draw.real(0, 1);
+    LogOutageFault outage;
+    outage.invoker = draw.one_in(3) ? draw.whole(0, d.invokers - 1) : -1;
+    outage.fault = draw.one_of(kFaults);
+    outage.length = Millis(kOutageLeast + (longest - kOutageLeast) * share * share);
+    if (outage.length.count() < kOutageLeast) break;
+    faults.push_back({at, outage});
+    if (with_drains) {
+      const std::array<Millis, 5> moments{Millis(-300), Millis(0), outage.length / 2, outage.length,
+                                          outage.length + Millis(300)};
+      for (int i = draw.whole(1, 3); i > 0; --i) {
+        const Millis drains_at = at + draw.one_of(moments) + draw.span(0, 700);
+        faults.push_back({std::max(drains_at, Millis(0)), draw_drain(draw, d)});
+      }
+    }
+    at += outage.length + draw.span(500, 5000);
+  }
+  if (draw.one_in(2)) {
+    faults.push_back(
+        {draw.span(0, options.length.count()), LogDelayFault{draw.span(20, 900), draw.span(500, 6000)}});
+  }
+  for (int i = draw.whole(0, 2); i > 0; --i) {
+    faults.push_back({draw.span(0, options.length.count()), LogBreakFault{}});
+  }
+}
+
+void draw_drains(Draw& draw, const DrawOptions& options, const Deployment& d,
+                 std::vector<TimedFault>& faults) {
+  for (int i = draw.whole(1, 4); i > 0; --i) {
+    faults.push_back({draw.span(500, options.length.count()), draw_drain(draw, d)});
+  }
+  if (!draw.one_in(2)) return;
+  faults.push_back({draw.span(500, options.length.count()),
+                    CrashFault{drainable_host(draw, d), draw.span(100, 2000), draw.span(20, 2000)}});
+}
+
+void draw_hosts(Draw& draw, const DrawOptions& options, const Deployment& d,
+                std::vector<TimedFault>& faults) {
+  constexpr std::array<HostFault, 9> kFaults{HostFault::full,    HostFault::failing,   HostFault::slow,
+                                             HostFault::hanging, HostFault::resetting, HostFault::forgetting,
+                                             HostFault::spoilt,  HostFault::twice,     HostFault::refusing};
+  for (int i = draw.whole(1, 4); i > 0; --i) {
+    HostFaultSpan span;
+    span.host = faulty_host(draw, d);
+    span.fault = draw.one_of(kFaults);
+    span.length = draw.span(300, 6000);
+    faults.push_back({draw.span(500, options.length.count()), span});
+  }
+}
+
+void draw_signals(Draw& draw, const DrawOptions& options, const Deployment& d,
+                  std::vector<TimedFault>& faults) {
+  using What = SignalFault::What;
+  constexpr std::array<What, 6> kWhat{What::counters, What::reload,         What::move,
+                                      What::restart,  What::restart_reload, What::kill};
+  for (int i = draw.whole(1, 4); i > 0; --i) {
+    SignalFault signal;
+    signal.invoker = draw.whole(0, d.invokers - 1);
+    signal.what = draw.one_of(kWhat);
+    signal.times = draw.whole(1, 3);
+    if (draw.one_in(2)) signal.new_log_late = draw.span(100, 5000);
+    faults.push_back({draw.span(1500, options.length.count()), signal});
+  }
+}
+
+void draw_clients(Draw& draw, const DrawOptions& options, const Deployment& d,
+                  std::vector<TimedFault>& faults) {
+  using What = ClientFault::What;
+  constexpr std::array<What, 5> kWhat{What::crowd, What::burst, What::cancels, What::leaves, What::bad_bytes};
+  for (int i = draw.whole(1, 5); i > 0; --i) {
+    ClientFault fault;
+    fault.invoker = draw.whole(0, d.invokers - 1);
+    fault.what = draw.one_of(kWhat);
+    fault.count = draw.whole(5, 120);
+    faults.push_back({draw.span(500, options.length.count()), fault});
+  }
+}
+
+void draw_machine(Draw& draw, const DrawOptions& options, const Deployment& d,
+                  std::vector<TimedFault>& faults) {
+  constexpr std::array<double, 4> kSteps{-3600000, -5000, 5000, 3600000};
+  for (int i = draw.whole(0, 2); i > 0; --i) {
+    faults.push_back({draw.span(500, options.length.count()), ClockStepFault{Millis(draw.one_of(kSteps))}});
+  }
+  for (int i = draw.whole(0, 2); i > 0; --i) {
+    SystemCallFault fault;
+    fault.invoker = draw.whole(0, d.invokers - 1);
+    fault.per_mille = draw.one_in(4) ? 300 : 40;
+    fault.length = fault.per_mille > 100 ? draw.span(50, 300) : draw.span(500, 5000);
+    faults.push_back({draw.span(1500, options.length.count()), fault});
+  }
+}
+
+void sort_by_time(std::vector<TimedFault>& faults) {
+  std::stable_sort(faults.begin(), faults.end(),
+                   [](const TimedFault& a, const TimedFault& b) { return a.at < b.at; });
+}
+
+// The incident of 2026-12-02 (docs/incidents/2026-12-02-membership-outage.md). What users saw: nothing but a
+// little delay, as the workers turned the calls away. Order of events: the membership log was out of reach of
+// all invokers for 10 s; two busy workers began to drain 0.6 s after that began and stayed up. Cause: nothing
+// limited how long an invoker used the last list, so that calls and load orders went on to the two past the
+// time at which their drain counted as told. Evidence: the workers' records, and status lines that show no
+// event applied before the outage's end.
+Schedule membership_outage(const char* name, LogFault fault) {
+  Schedule schedule;
+  schedule.name = name;
+  schedule.seed = 17;
+  schedule.length = Millis(14000);
+  schedule.deployment.hosts = 6;
+  const Millis outage_at(2000), outage_length(10000);
+  schedule.faults.push_back({outage_at, LogOutageFault{-1, fault, outage_length}});
+  for (int host = 0; host < 2; ++host) {
+    DrainFault drain;
+    drain.host = host;
+    drain.notice = Millis(100);
+    drain.gone_after = Millis(10800);
+    drain.back_after = Millis(600);
+    schedule.faults.push_back({outage_at + Millis(500), drain});
+  }
+  return schedule;
+}
+
+const char* name_of(LogFault fault) {
+  switch (fault) {
+    case LogFault::refused: return "refuses";
+    case LogFault::silent: return "is silent";
+    case LogFault::cut: return "is cut off in mid-line";
+    case LogFault::moved: break;
+  }
+  return "has moved";
+}
+
+const char* name_of(HostFault fault) {
+  constexpr std::array<const char*, 10> kNames{"is well",
+                                               "turns all away",
+                                               "fails",
+                                               "is slow",
+                                               "hangs",
+                                               "resets connections",
+                                               "forgets idle connections",
+                                               "spoils answers",
+                                               "answers twice",
+                                               "refuses connections"};
+  return kNames[static_cast<std::size_t>(fault)];
+}
+
+const char* name_of(SignalFault::What what) {
+  constexpr std::array<const char*, 6> kNames{"SIGUSR1", "SIGHUP",          "SIGHUP with a moved log",
+                                              "SIGTERM", "SIGHUP, SIGTERM", "SIGKILL"};
+  return kNames[static_cast<std::size_t>(what)];
+}
+
+const char* name_of(ClientFault::What what) {
+  constexpr std::array<const char*, 5> kNames{"idle connections", "calls at once", "cancels", "leaves",
+                                              "connections with bad bytes"};
+  return kNames[static_cast<std::size_t>(what)];
+}
+
+// Writes one fault as a phrase.
+class Describer {
+ public:
+  explicit Describer(std::ostream& out) : out_(out) {}
+
+  void operator()(const LogOutageFault& f) const {
+    out_ << "the log " << name_of(f.fault) << " for " << f.length.count() << " ms, invoker "
+         << (f.invoker < 0 ? std::string("all") : std::to_string(f.invoker));
+  }
+  void operator()(const LogDelayFault& f) const {
+    out_ << "the log is " << f.delay.count() << " ms late for " << f.length.count() << " ms";
+  }
+  void operator()(const LogBreakFault&) const { out_ << "connections to the log break"; }
+  void operator()(const DrainFault& f) const {
+    out_ << "host " << f.host << " drains, told after " << f.notice.count() << " ms, gone after "
+         << f.gone_after.count() << ", back after " << f.back_after.count();
+  }
+  void operator()(const CrashFault& f) const {
+    out_ << "host " << f.host << " dies, told after " << f.notice.count() << " ms, back after "
+         << f.back_after.count();
+  }
+  void operator()(const HostFaultSpan& f) const {
+    out_ << "host " << f.host << ' ' << name_of(f.fault) << " for " << f.length.count() << " ms";
+  }
+  void operator()(const SignalFault& f) const {
+    out_ << "invoker " << f.invoker << ": " << name_of(f.what) << " x " << f.times << ", new log late by "
+         << f.new_log_late.count() << " ms";
+  }
+  void operator()(const ClientFault& f) const {
+    out_ << "invoker " << f.invoker << ": " << f.count << ' ' << name_of(f.what);
+  }
+  void operator()(const ClockStepFault& f) const { out_ << "wall clock steps by " << f.by.count() << " ms"; }
+  void operator()(const SystemCallFault& f) const {
+    out_ << "invoker " << f.invoker << ": " << f.per_mille << " of 1000 system calls fail for "
+         << f.length.count() << " ms";
+  }
+
+ private:
+  std::ostream& out_;
+};
+
+struct NamedSchedule {
+  const char* name;
+  LogFault fault;
+};
+constexpr std::array<NamedSchedule, 3> kNamed{{{"membership-outage-silent", LogFault::silent},
+                                               {"membership-outage-refused", LogFault::refused},
+                                               {"membership-outage-cut", LogFault::cut}}};
+
+}  // namespace
+
+const std::vector<FaultKind>& all_kinds() {
+  static const std::vector<FaultKind> kinds{FaultKind::discovery, FaultKind::drains,  FaultKind::hosts,
+                                            FaultKind::signals,   FaultKind::clients, FaultKind::machine};
+  return kinds;
+}
+
+const char* name_of(FaultKind kind) {
+  constexpr std::array<const char*, 6> kNames{"discovery", "drains",  "hosts",
+                                              "signals",   "clients", "machine"};
+  return kNames[static_cast<std::size_t>(kind)];
+}
+
+std::optional<FaultKind> kind_named(const std::string& name) {
+  for (const FaultKind kind : all_kinds()) {
+    if (name == name_of(kind)) return kind;
+  }
+  return std::nullopt;
+}
+
+Schedule draw_schedule(std::uint64_t seed, const DrawOptions& options) {
+  Draw draw(seed);
+  Schedule schedule;
+  schedule.name = "seed-" + std::to_string(seed);
+  schedule.seed = seed;
+  schedule.length = options.length;
+  schedule.deployment = draw_deployment(draw, options);
+  const Deployment& d = schedule.deployment;
+  const auto has = [&](FaultKind kind) {
+    return std::count(options.kinds.begin(), options.kinds.end(), kind) > 0;
+  };
+  if (has(FaultKind::discovery)) {
+    draw_discovery(draw, options, d, has(FaultKind::drains), schedule.faults);
+  }
+  if (has(FaultKind::drains)) draw_drains(draw, options, d, schedule.faults);
+  if (has(FaultKind::hosts)) draw_hosts(draw, options, d, schedule.faults);
+  if (has(FaultKind::signals)) draw_signals(draw, options, d, schedule.faults);
+  if (has(FaultKind::clients)) draw_clients(draw, options, d, schedule.faults);
+  if (has(FaultKind::machine)) draw_machine(draw, options, d, schedule.faults);
+  sort_by_time(schedule.faults);
+  return schedule;
+}
+
+std::optional<Schedule> named_schedule(const std::string& name) {
+  for (const NamedSchedule& named : kNamed) {
+    if (name == named.name) return membership_outage(named.name, named.fault);
+  }
+  return std::nullopt;
+}
+
+std::vector<std::string> schedule_names() {
+  std::vector<std::string> names;
+  for (const NamedSchedule& named : kNamed) names.emplace_back(named.name);
+  return names;
+}
+
+std::string describe(const Schedule& schedule) {
+  std::ostringstream out;
+  const Deployment& d = schedule.deployment;
+  out << schedule.name << ": " << schedule.length.count() << " ms, " << d.invokers << " invokers, " << d.hosts
+      << " hosts in " << d.zones << " zones, " << d.functions << " functions, " << d.calls_per_second
+      << " calls a second and invoker, allowed " << d.allowed_repeatable.count() << " and "
+      << d.allowed_once.count() << " ms, " << d.send_cap << " attempts, probes " << d.probes << ", "
+      << d.descriptors << " descriptors\n";
+  for (const TimedFault& timed : schedule.faults) {
+    out << "  " << timed.at.count() << " ms: ";
+    std::visit(Describer(out), timed.fault);
+    out << '\n';
+  }
+  return out.str();
+}
+
+}  // namespace pathstack::soak
--- /dev/null
+++ b/tests/soak/worker_host.h
@@ -0,0 +1,93 @@
+// A stand-in for a worker: the line protocol, loads, runs, and faults that a schedule sets.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "hosts/line_parser.h"
+#include "listener.h"
+#include "net/loop.h"
+#include "net/stream.h"
+#include "record.h"
+
+namespace pathstack::soak {
+
+/// How a worker fails, beside draining and going.
+enum class HostFault {
+  none,
+  full,        // turns all calls away
+  failing,     // answers `failed` at once
+  slow,        // runs take ten times as long
+  hanging,     // reads and answers nothing
+  resetting,   // ends a connection under every fourth call
+  forgetting,  // ends connections that have nothing open
+  spoilt,      // one answer in eight cannot be read
+  twice,       // one answer in four comes twice
+  refusing     // takes no new connection
+};
+
+struct HostTimes {
+  Millis run_least{15}, run_most{60}, load{80};
+};
+
+/// One worker. A process of it that goes and comes back is the same object, empty.
+class WorkerHost {
+ public:
+  WorkerHost(net::Loop& loop, net::BufferPool& pool, Record& record, std::function<Millis()> clock,
+             std::string id, std::string zone, int invokers, HostTimes times, std::uint64_t seed);
+  ~WorkerHost();
+  WorkerHost(const WorkerHost&) = delete;
+  WorkerHost& operator=(const WorkerHost&) = delete;
+
+  const std::string& id() const { return id_; }
+  const std::string& zone() const { return zone_; }
+  std::string address(int invoker) const { return fronts_.at(invoker).listener->address(); }
+
+  /// Turns new work away and says so to probes; what runs is completed.
+  void drain() { draining_ = true; }
+  /// The process ends: connections close, new ones are refused.
+  void stop();
+  /// A new process, with nothing loaded.
+  void start();
+  void set_fault(HostFault fault);
+
+ private:
+  class Peer;
+  struct Front {
+    std::unique_ptr<Listener> listener;
+    std::list<std::shared_ptr<Peer>> peers;
+  };
+
+  net::Loop& loop_;
+  net::BufferPool& pool_;
+  Record& record_;
+  std::function<Millis()> clock_;
+  std::string id_, zone_;
+  HostTimes times_;
+  std::mt19937_64 random_;
+  std::map<int, Front> fronts_;
+  std::set<std::string> loaded_;
+  std::map<std::string, int> in_hand_;  // calls by function
+  bool draining_ = false, stopped_ = false;
+  HostFault fault_ = HostFault::none;
+  std::uint64_t process_ = 1;  // what was begun by an earlier process never ends
+
+  bool one_in(std::uint64_t n) { return random_() % n == 0; }
+  void take(Peer& peer, const hosts::Reply& line, Millis first_byte);
+  void take_call(Peer& peer, const hosts::Reply& line, Millis first_byte);
+  void take_load_order(Peer& peer, const hosts::Reply& line, Millis first_byte);
+  void run_call(const std::weak_ptr<Peer>& peer, std::size_t request, const std::string& function,
+                const std::string& body, int crowd);
+  void finish(Peer& peer, std::size_t request, const std::string& word, const std::string& fields,
+              const std::string& body);
+  void peer_ended(Peer& peer);
+};
+
+}  // namespace pathstack::soak
