Lease on the list of workers: those not heard of since it ended are asked before use

Cause: the module used the last list without limit, however long the membership log had been out of reach; a worker once ready stayed ready until an event said otherwise (Scheduler::send, order_load; WorkerTable).

Change: feed::ListLease tells by the platform's clocks from when on changes may count as told (4 s after the last line that shows nothing missing, 2 s after a break, at once when asked again). Past that MembershipLease lets new work go only to workers that accepted work or answered a probe with well within 0.6 of the drain grace; others are asked first, when work waits for them. Calls and orders that wait for a connection past 0.2 of the grace do not leave.

parsers_test: a number equal to the last event now has a result of its own, up_to_date, where it was no_update; the older number keeps no_update and is checked as well. process_test: its site gets a log within reach, as the program rightly uses no worker that it can neither confirm nor ask.

--- a/include/pathstack/policy.h
+++ b/include/pathstack/policy.h
@@ -99,6 +99,11 @@
   ListKind kind = ListKind::full;
   std::vector<WorkerEntry> entries;
 };
+/// Never comes over the simulator's wire, which tells every change: the list of workers is current until
+/// then. From that time on changes that were not received may count as told. May also be before the last one.
+struct ListLease {
+  Millis until{0};
+};
 struct Request {
   std::string id, class_name, tenant;
   std::optional<double> cost_hint;
@@ -148,8 +153,8 @@
 };
 }  // namespace event
 using Event =
-    std::variant<event::Start, event::Stop, event::List, event::Request, event::StreamBegan, event::Answer,
-                 event::Left, event::Timer, event::Probed, event::Loaded, event::Peer>;
+    std::variant<event::Start, event::Stop, event::List, event::ListLease, event::Request, event::StreamBegan,
+                 event::Answer, event::Left, event::Timer, event::Probed, event::Loaded, event::Peer>;
 
 namespace action {
 struct Send {
--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -70,6 +70,19 @@
   dispatcher_.members(std::move(entries));
 }
 
+// The hosts first: the module may send at once.
+void Invoker::update_list_lease(Millis until) {
+  list_current_until_ = until;
+  fleet_.list_lease(until);
+  dispatcher_.list_lease(until);
+}
+
+void Invoker::log_list_state() {
+  const bool is_current = loop_.now() <= list_current_until_;
+  if (is_current == std::exchange(list_was_current_, is_current)) return;
+  events_.write(is_current ? "membership.current" : "membership.stale", {});
+}
+
 feed::EventSequence Invoker::apply_known_events() {
   using Result = feed::EventSequence::Result;
   feed::EventSequence sequence;
@@ -98,6 +111,7 @@
     membership_client_.emplace(loop_, pool_, counters_, config_.changelog, known, on_update,
                                memory_quarter(config_), config_.seed);
     membership_client_->log_to(events_);
+    membership_client_->observe_lease([this](Millis until) { update_list_lease(until); });
     membership_client_->start();
     return;
   }
@@ -181,6 +195,7 @@
     if (loop_.now() >= next_status_) log_status();
     if (shutdown_.begun()) due = std::min(due, loop_.now() + kShutdownInterval);
     loop_.turn(due, [this] { dispatcher_.tick(); });
+    log_list_state();
     log_.flush();
     errors_.flush();
     const bool terminate = serve_signals();
--- a/src/app/invoker.h
+++ b/src/app/invoker.h
@@ -1,6 +1,7 @@
 // One invoker: its parts, start, loop and graceful shutdown.
 #pragma once
 
+#include <limits>
 #include <optional>
 #include <string>
 
@@ -53,6 +54,8 @@
   std::optional<amqp::Front> triggers_;
   Reloader reloader_;
   core::Millis next_status_{0};
+  core::Millis list_current_until_{std::numeric_limits<double>::infinity()};
+  bool list_was_current_ = true;
   bool terminated_at_start_ = false;  // before it could listen: no call waits for an answer
 
   /// Applies the events of the configuration; the result is where the change log has to go on.
@@ -65,6 +68,9 @@
   /// True if the program is to end.
   bool serve_signals();
   void start_triggers();
+  void update_list_lease(core::Millis until);
+  /// Logs that the list of hosts has become stale, or is current again.
+  void log_list_state();
   void update_members(const core::MemberList& list, core::ListKind kind);
   /// Reads the configuration anew; throws config::ConfigError, and has then changed nothing.
   void reload();
--- a/src/core/counter.cpp
+++ b/src/core/counter.cpp
@@ -89,6 +89,8 @@
      "to load that were not written, as the load budget was spent by then"},
     {Counter::guard_send_stopped, "guard.send_stopped", "attempts",
      "of the decision module that would break a rule"},
+    {Counter::guard_waited_too_long, "guard.waited_too_long", "messages",
+     "not written, as they had waited too long for a connection while the list was not current"},
     {Counter::hosts_answers_absent, "hosts.answers.absent", "answers",
      "of hosts: no instance of the function"},
     {Counter::hosts_answers_data, "hosts.answers.data", "answers", "of hosts: served"},
--- a/src/core/counter.h
+++ b/src/core/counter.h
@@ -64,6 +64,7 @@
   guard_host_not_ready,
   guard_load_stopped,
   guard_send_stopped,
+  guard_waited_too_long,
   hosts_answers_absent,
   hosts_answers_data,
   hosts_answers_failed,
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -136,6 +136,8 @@
 void Dispatcher::probe_ended(ProbeOutcome&& end) { apply_steps(module_.report(clock_(), end)); }
 void Dispatcher::members(HostList&& list) { apply_steps(module_.report(clock_(), list)); }
 
+void Dispatcher::list_lease(Millis until) { apply_steps(module_.report(clock_(), ListLease{until})); }
+
 bool Dispatcher::take_load_budget() {
   if (load_budget_.take(clock_())) return true;
   counters_.add(Counter::guard_load_stopped);
@@ -242,6 +244,10 @@
   hosts_.ensure(step.host, step.function, step.instances);
 }
 
+void Dispatcher::apply(const LogStep& step) {
+  if (event_log_ != nullptr) event_log_->write(step.text);
+}
+
 void Dispatcher::finish(CallId id, Answer&& answer) {
   const auto found = calls_.find(id);
   if (found == calls_.end()) return;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -56,6 +56,8 @@
   void probe_ended(ProbeOutcome&& end);
   /// The membership log has a complete list, or changes. The hosts must know of them before.
   void members(HostList&& list);
+  /// The list of hosts may be relied on until then. The hosts must know of it before.
+  void list_lease(Millis until);
   /// Asked when a load order is about to be written; false, and counted, if the load budget is spent.
   bool take_load_budget();
 
@@ -101,6 +103,7 @@
   void apply(const CancelStep& step);
   void apply(const ProbeStep& step) { hosts_.probe(step.host); }
   void apply(const LoadStep& step);
+  void apply(const LogStep& step);
   void apply(const UnloadStep& step) { hosts_.release(step.host, step.function); }
 
   OpenCall* find_call(CallId id);
--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -39,6 +39,22 @@
 }
 
 void EventLog::write(std::string_view name, std::initializer_list<Field> fields) {
+  std::string text;
+  for (const auto& [key, value] : fields) {
+    text += ' ';
+    text += key;
+    text += '=';
+    text += value;
+  }
+  write(name, text);
+}
+
+void EventLog::write(const std::string& text) {
+  const std::size_t end = std::min(text.find(' '), text.size());
+  write(std::string_view(text).substr(0, end), text.substr(end));
+}
+
+void EventLog::write(std::string_view name, const std::string& fields) {
   constexpr double kMillisPerSecond = 1000;
   const Millis now = clock_();
   if (!take_token(now)) return counters_.add(Counter::log_events_suppressed);
@@ -48,12 +64,7 @@
   line += name;
   line += " t=";
   line += time;
-  for (const auto& [key, value] : fields) {
-    line += ' ';
-    line += key;
-    line += '=';
-    line += value;
-  }
+  line += fields;
   write_line_(line);
 }
 
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -30,6 +30,8 @@
   EventLog(Clock clock, WriteLine write_line, Counters& counters);
 
   void write(std::string_view name, std::initializer_list<Field> fields);
+  /// The same for `text` of the form `NAME key=value ...`.
+  void write(const std::string& text);
 
  private:
   Clock clock_;
@@ -39,6 +41,7 @@
   Millis filled_at_;
 
   bool take_token(Millis now);
+  void write(std::string_view name, const std::string& fields);
 };
 
 }  // namespace pathstack::core
--- a/src/core/module.cpp
+++ b/src/core/module.cpp
@@ -29,6 +29,7 @@
   return event::Probed{o.host, o.outcome, o.elapsed, o.report};
 }
 pathstack::policy::Event event_of(const CallLeft& o) { return event::Left{std::to_string(o.call)}; }
+pathstack::policy::Event event_of(const ListLease& o) { return event::ListLease{o.until}; }
 pathstack::policy::Event event_of(const HostList& o) { return event::List{o.kind, o.entries}; }
 
 CallId call_id_of(const std::string& id) { return std::stoull(id); }  // ids are ours: see pick
@@ -44,10 +45,10 @@
 std::optional<Step> step_of(const action::Load& a) { return LoadStep{a.worker, a.function, a.copies}; }
 std::optional<Step> step_of(const action::Unload& a) { return UnloadStep{a.worker, a.function}; }
 std::optional<Step> step_of(const action::SetTimer&) { return std::nullopt; }  // see Module::handle
-// Of no use to an invoker on sockets: it has no peers to speak to, always watches, and logs counters.
+std::optional<Step> step_of(const action::Log& a) { return LogStep{a.text}; }
+// Of no use to an invoker on sockets: it has no peers to speak to, and always watches.
 std::optional<Step> step_of(const action::Tell&) { return std::nullopt; }
 std::optional<Step> step_of(const action::Watch&) { return std::nullopt; }
-std::optional<Step> step_of(const action::Log&) { return std::nullopt; }
 
 }  // namespace
 
--- a/src/core/module.h
+++ b/src/core/module.h
@@ -46,8 +46,13 @@
   std::string host;
   std::uint64_t function = 0;
 };
+/// Tell the operator of an event.
+struct LogStep {
+  std::string text;
+};
 /// What the module decides.
-using Step = std::variant<SendStep, RefuseStep, FailStep, CancelStep, ProbeStep, LoadStep, UnloadStep>;
+using Step =
+    std::variant<SendStep, RefuseStep, FailStep, CancelStep, ProbeStep, LoadStep, UnloadStep, LogStep>;
 using Steps = std::vector<Step>;
 
 /// An attempt has ended.
@@ -84,8 +89,12 @@
   ListKind kind = ListKind::full;
   std::vector<WorkerEntry> entries;
 };
+/// Changes of the list of hosts that were not received may count as told from `until` on.
+struct ListLease {
+  Millis until{0};
+};
 /// What can be reported to the module.
-using Reported = std::variant<AttemptOutcome, LoadOutcome, ProbeOutcome, CallLeft, HostList>;
+using Reported = std::variant<AttemptOutcome, LoadOutcome, ProbeOutcome, CallLeft, HostList, ListLease>;
 
 /// The decision module and its timers. Owned by the dispatcher; knows no clock: every call states the time,
 /// which must not decrease. Cost of every call that returns steps: a decision of `policy::Policy`.
--- a/src/feed/event_sequence.h
+++ b/src/feed/event_sequence.h
@@ -17,10 +17,11 @@
 class EventSequence {
  public:
   enum class Result {
-    update,     // the event is the next one and lists hosts
-    no_update,  // a repeat, or nothing that concerns the list of hosts
-    gap,        // an event before this one is missing
-    malformed   // cannot be read
+    update,      // the event is the next one and lists hosts
+    no_update,   // a repeat, or nothing that concerns the list of hosts
+    up_to_date,  // the log has no event after the last one that has passed
+    gap,         // an event before this one is missing
+    malformed    // cannot be read
   };
 
   /// `last`: the sequence number of the last event that is known already; 0 for none.
--- /dev/null
+++ b/src/feed/list_lease.h
@@ -0,0 +1,53 @@
+// How long the list of hosts may be relied on.
+#pragma once
+
+#include <algorithm>
+
+#include "core/types.h"
+
+namespace pathstack::feed {
+
+/// The time from which on changes of the list that were not received may count as told.
+///
+/// The platform counts a change as told once it is in the membership log, whether this invoker is connected
+/// or not. It allows for outages: after a break 2 s from the break, after a stop or a move of the log 4 s,
+/// but no longer than until the invoker asks again. A stop cannot be seen; it may have begun right behind the
+/// last line. So each line that shows that nothing is missing renews the lease, and nothing else does.
+/// Knows no clock; every call is O(1).
+class ListLease {
+ public:
+  /// The platform's clocks.
+  static constexpr core::Millis kAfterBreak{2000}, kAfterStop{4000}, kAfterMove{4000};
+
+  /// Before the first line nothing says how old the list of the configuration is.
+  explicit ListLease(core::Millis now) : until_(now) {}
+
+  core::Millis until() const { return until_; }
+
+  /// A line showed that no event before it is missing; it arrived at `at` or later.
+  void confirmed(core::Millis at) {
+    asked_ = false;
+    until_ = std::max(until_, at + kAfterStop);
+  }
+  /// An event arrived on a connection that was up to date: what is behind it follows at once.
+  void event_received(core::Millis at) {
+    if (!asked_) confirmed(at);
+  }
+  /// The question for all later events has left: they count as told now.
+  void asked(core::Millis now) {
+    asked_ = true;
+    shorten(now);
+  }
+  /// The log has events that this invoker does not have.
+  void fell_behind(core::Millis now) { asked(now); }
+  void connection_broke(core::Millis now) { shorten(now + kAfterBreak); }
+  void log_moved(core::Millis now) { shorten(now + kAfterMove); }
+
+ private:
+  core::Millis until_;
+  bool asked_ = true;  // and not answered to the end
+
+  void shorten(core::Millis until) { until_ = std::min(until_, until); }
+};
+
+}  // namespace pathstack::feed
--- a/src/feed/membership_client.cpp
+++ b/src/feed/membership_client.cpp
@@ -21,10 +21,20 @@
       max_event_bytes_(max_event_bytes),
       timeouts_(timeouts),
       backoff_(timeouts.backoff_first, timeouts.backoff_most, seed),
-      staleness_(timeouts) {}
+      staleness_(timeouts),
+      lease_(loop.now()) {}
 
 MembershipClient::~MembershipClient() { loop_.cancel(reconnect_timer_); }
 
+void MembershipClient::start() {
+  report_lease();
+  connect();
+}
+
+void MembershipClient::report_lease() {
+  if (on_lease_) on_lease_(lease_.until());
+}
+
 void MembershipClient::connect() {
   net::Socket socket = net::connect_to(address_);
   if (!socket) return reconnect_later();
@@ -44,6 +54,8 @@
     old->end_later();
     loop_.defer_destruction(old);
   }
+  lease_.log_moved(loop_.now());
+  report_lease();
   loop_.cancel(reconnect_timer_);
   backoff_.reset();
   staleness_ = StalenessTimeout(timeouts_);
@@ -64,14 +76,25 @@
   using Result = EventSequence::Result;
   core::MemberList list;
   const Result result = sequence_.read_line(line, list);
-  if (result == Result::gap || result == Result::malformed) return false;
+  if (result == Result::gap || result == Result::malformed) {
+    lease_.fell_behind(loop_.now());
+    report_lease();
+    return false;
+  }
+  // A line that this process was late to read may be as old as the poll before the one that reported it.
+  if (result == Result::up_to_date) lease_.confirmed(loop_.previous_poll());
+  if (result != Result::up_to_date) lease_.event_received(loop_.previous_poll());
   backoff_.reset();
   staleness_.line_received();
-  if (result == Result::no_update) return true;
+  if (result != Result::update) {
+    report_lease();
+    return true;
+  }
   staleness_.update_received();
   counters_.add(core::Counter::feed_events);
   log_event(list);
   on_update_(list);
+  report_lease();
   return true;
 }
 
@@ -90,10 +113,16 @@
                                            {"reason", std::string(connection.end_reason())},
                                            {"last", std::to_string(sequence_.last())}});
   }
+  if (connection.end_cause() != net::StreamEnd::local) {
+    lease_.connection_broke(loop_.now());
+    report_lease();
+  }
   reconnect_later();
 }
 
 void MembershipClient::on_asked(std::uint64_t last) {
+  lease_.asked(loop_.now());
+  report_lease();
   if (event_log_ == nullptr) return;
   event_log_->write("membership.asked", {{"address", address_}, {"since", std::to_string(last)}});
 }
--- a/src/feed/membership_client.h
+++ b/src/feed/membership_client.h
@@ -13,6 +13,7 @@
 #include "feed/backoff.h"
 #include "feed/event_sequence.h"
 #include "feed/line_splitter.h"
+#include "feed/list_lease.h"
 #include "feed/staleness_timeout.h"
 #include "feed/timeouts.h"
 #include "feed/watch_connection.h"
@@ -29,6 +30,9 @@
   /// Receives the hosts of one event: all of them if `complete`, else those that have changed.
   using OnUpdate = std::function<void(const core::MemberList&)>;
 
+  /// Receives the time until which the list may be relied on (`ListLease`), each time that it changes.
+  using OnLease = std::function<void(core::Millis until)>;
+
   /// `known`: the events that are known already. A line of more than `max_event_bytes` ends the connection; a
   /// complete list of hosts is one line. `seed` is that of the backoff's jitter.
   MembershipClient(net::Loop& loop, net::BufferPool& pool, core::Counters& counters, std::string address,
@@ -42,8 +46,10 @@
   /// Connections, their ends and events are told of in `log`, which must outlive this object.
   void log_to(core::EventLog& log) { event_log_ = &log; }
 
+  void observe_lease(OnLease on_lease) { on_lease_ = std::move(on_lease); }
+
   /// Begins the first connection.
-  void start() { connect(); }
+  void start();
 
   /// The log goes on at another address, under the same sequence numbers. The old connection is left at once:
   /// the old address reports nothing more but may stay open for a while, and look healthy. No effect if the
@@ -58,10 +64,12 @@
   core::EventLog* event_log_ = nullptr;
   EventSequence sequence_;
   OnUpdate on_update_;
+  OnLease on_lease_;
   std::size_t max_event_bytes_;
   Timeouts timeouts_;
   Backoff backoff_;
   StalenessTimeout staleness_;
+  ListLease lease_;
   std::shared_ptr<WatchConnection> connection_;
   net::Loop::TimerId reconnect_timer_;
 
@@ -74,6 +82,7 @@
   void on_ended(const WatchConnection& connection) override;
 
   void connect();
+  void report_lease();
   void reconnect_later();
   void log_event(const core::MemberList& list) const;
 };
--- a/src/hosts/connection.cpp
+++ b/src/hosts/connection.cpp
@@ -133,9 +133,13 @@
   const Millis now = loop().now();
   monitor_.liveness().connected(now);
   counters_.add(core::Counter::hosts_links_up);
-  requests_.connected();
-  attempts_.connected(now);
+  const auto may_write = [this](Millis added_at) { return observer_.may_still_write(added_at); };
+  requests_.connected(may_write);
+  const auto stopped = attempts_.connected(now, may_write);
   update_idle_timer();
+  for (const auto& open : stopped) {
+    observer_.on_attempt_ended(open.attempt, {Outcome::not_sent, 0, std::nullopt, {}});
+  }
 }
 
 void Connection::received(std::string_view bytes) {
--- a/src/hosts/connection.h
+++ b/src/hosts/connection.h
@@ -21,8 +21,8 @@
 
 class Connection;
 
-/// What a connection reports to. Except `take_load_budget`, calls come from the event loop, never from inside
-/// a method of the connection's.
+/// What a connection reports to. Except `take_load_budget` and `may_still_write`, calls come from the event
+/// loop, never from inside a method of the connection's.
 class ConnectionObserver {
  public:
   ConnectionObserver() = default;
@@ -40,6 +40,9 @@
   virtual void on_connection_closed(Connection& connection) = 0;
   /// Asked when a load order is about to be written; false if it must not be.
   virtual bool take_load_budget() = 0;
+  /// Asked for a call or load order that has waited for its connection since `added_at`; false if it must not
+  /// be written any more.
+  virtual bool may_still_write(Millis added_at) = 0;
 };
 
 /// A connection to one process of a host: carries attempts, load orders and probes, and ends itself when the
--- a/src/hosts/connection_pool.cpp
+++ b/src/hosts/connection_pool.cpp
@@ -208,6 +208,17 @@
 
 bool ConnectionPool::take_load_budget() { return dispatcher_->take_load_budget(); }
 
+// The module decides by leases that end within the grace; what waits much longer may leave after a drain that
+// counts as told.
+bool ConnectionPool::may_still_write(Millis added_at) {
+  constexpr double kLongestWaitShare = 0.2;  // of the drain grace
+  const Millis now = loop_.now();
+  if (now <= list_current_until_) return true;
+  if (now - added_at <= limits_.drain_grace * kLongestWaitShare) return true;
+  counters_.add(core::Counter::guard_waited_too_long);
+  return false;
+}
+
 void ConnectionPool::on_connection_closed(Connection& connection) {
   --connections_;
   counters_.add(core::Counter::hosts_links_ended);
--- a/src/hosts/connection_pool.h
+++ b/src/hosts/connection_pool.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -43,6 +44,14 @@
   /// Takes a complete list of hosts or a change of it. Cost: a walk of all hosts, and constant for each row.
   void members(const core::MemberList& list);
 
+  /// Changes of the list that were not received may count as told from `until` on. Past that, calls and load
+  /// orders that have waited for their connection are not written any more. Without a call the list is always
+  /// current.
+  void list_lease(Millis until) { list_current_until_ = until; }
+
+  /// What connections report to.
+  ConnectionObserver& observer() { return *this; }
+
   /// Sends an attempt of `call` to host `id`, with the time `timeout` that its client has left. Cost: a walk
   /// of the host's connections; of all connections if as many are up as may be.
   void exec(const core::Attempt& attempt, const std::string& id, const core::Call& call,
@@ -81,12 +90,14 @@
   std::size_t connections_ = 0;  // to all hosts
   std::uint64_t last_tag_ = 0;
   LocalFaultBackoff local_fault_backoff_;
+  Millis list_current_until_{std::numeric_limits<double>::infinity()};
 
   void on_attempt_ended(const core::Attempt& attempt, core::AttemptEnd&& end) override;
   void on_load_ended(core::LoadOutcome&& end) override;
   void on_probe_ended(core::ProbeOutcome&& end) override;
   void on_connection_closed(Connection& connection) override;
   bool take_load_budget() override;
+  bool may_still_write(Millis added_at) override;
 
   void update_member(const core::Member& member);
   void replace_others_at(const std::string& address, const std::string& id);
--- a/src/hosts/open_attempts.cpp
+++ b/src/hosts/open_attempts.cpp
@@ -27,12 +27,20 @@
   by_ref_.emplace(call.ref, open);
 }
 
-void OpenAttempts::connected(Millis now) {
+std::vector<OpenAttempt> OpenAttempts::connected(Millis now, const MayWrite& may_write) {
   const auto waiting = std::move(waiting_);
   waiting_.clear();
+  std::vector<OpenAttempt> stopped;
   for (const auto& [request, expires_at] : waiting) {
-    write(request, now, expires_at - now, by_ref_.at(request.ref));
+    OpenAttempt& open = by_ref_.at(request.ref);
+    if (may_write(open.added_at)) {
+      write(request, now, expires_at - now, open);
+      continue;
+    }
+    stopped.push_back(open);
+    by_ref_.erase(request.ref);
   }
+  return stopped;
 }
 
 // Nothing is written past the client's time; the dispatcher cancels the attempt in its next turn.
--- a/src/hosts/open_attempts.h
+++ b/src/hosts/open_attempts.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -46,8 +47,11 @@
   /// Sends an attempt, or keeps it for the connection. Its ref must not be open. Cost: logarithmic in the
   /// open attempts, linear in the body.
   void add(const core::Attempt& attempt, const core::Call& call, Millis now, Millis timeout);
-  /// The connection is up: writes what has waited and has time left.
-  void connected(Millis now);
+  /// Asked for what has waited since the given time; false if it must not be written any more.
+  using MayWrite = std::function<bool(Millis added_at)>;
+  /// The connection is up: writes what has waited and has time left. Removes and returns what must not be
+  /// written.
+  std::vector<OpenAttempt> connected(Millis now, const MayWrite& may_write);
 
   /// The ref of `attempt`, if it is open. Cost: linear in the open attempts.
   std::optional<std::string> ref_of(const core::Attempt& attempt) const;
--- a/src/hosts/open_requests.cpp
+++ b/src/hosts/open_requests.cpp
@@ -25,10 +25,24 @@
 
 void OpenRequests::send_unanswered(const std::string& message) { write_or_wait({}, message); }
 
-void OpenRequests::connected() {
+void OpenRequests::connected(const OpenAttempts::MayWrite& may_write) {
   const auto waiting = std::move(waiting_);
   waiting_.clear();
-  for (const auto& line : waiting) write(line);
+  for (const auto& line : waiting) {
+    const auto found = by_tag_.find(line.tag);
+    const bool is_order = found != by_tag_.end() && found->second.kind == OpenRequest::Kind::load_order;
+    if (is_order && !may_write(found->second.added_at)) {
+      expire(line.tag, found->second);
+    } else {
+      write(line);
+    }
+  }
+}
+
+// Nothing is known of the instances there, as after a time-out.
+void OpenRequests::expire(const std::string& tag, OpenRequest& request) {
+  loop_.cancel(request.timer);
+  set_timer(tag, request, loop_.now());
 }
 
 void OpenRequests::write_or_wait(const std::string& tag, const std::string& message) {
@@ -45,9 +59,7 @@
   if (found == by_tag_.end()) return;  // it has timed out while it waited for the connection
   OpenRequest& request = found->second;
   if (request.kind == OpenRequest::Kind::load_order && !take_load_budget_()) {
-    // Nothing is known of the instances there, as after a time-out.
-    loop_.cancel(request.timer);
-    return set_timer(line.tag, request, loop_.now());
+    return expire(line.tag, request);
   }
   stream_.write(line.message);
   request.message = {true, stream_.outbox().appended()};
--- a/src/hosts/open_requests.h
+++ b/src/hosts/open_requests.h
@@ -48,8 +48,9 @@
            const std::string& message);
   /// Sends a message that has no answer, or keeps it for the connection.
   void send_unanswered(const std::string& message);
-  /// The connection is up: writes what has waited and has not timed out.
-  void connected();
+  /// The connection is up: writes what has waited and has not timed out. Load orders that must not be written
+  /// any more time out at once.
+  void connected(const OpenAttempts::MayWrite& may_write);
 
   /// Removes the request under `tag` and returns it; nothing if none is open. Cost: logarithmic.
   std::optional<OpenRequest> remove(const std::string& tag);
@@ -71,6 +72,7 @@
 
   void write_or_wait(const std::string& tag, const std::string& message);
   void write(const Waiting& line);
+  void expire(const std::string& tag, OpenRequest& request);
   void set_timer(const std::string& tag, OpenRequest& request, Millis at);
 };
 
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -22,7 +22,9 @@
 
 Loop::Loop()
     : wall_clock_offset_(time_of<std::chrono::system_clock>() - time_of<std::chrono::steady_clock>()),
-      turn_began_(now()) {}
+      turn_began_(now()),
+      previous_poll_(turn_began_),
+      latest_poll_(turn_began_) {}
 
 Loop::~Loop() = default;
 
@@ -59,6 +61,7 @@
   collect_descriptors();
   const int ready_count = wait_for_events(wait);
   turn_began_ = now();
+  if (ready_count >= 0) previous_poll_ = std::exchange(latest_poll_, turn_began_);
   if (ready_count > 0) dispatch_events();
   run_due_timers();
   decide();
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -57,6 +57,10 @@
   /// When poll(2) of this turn returned: what is read in the turn had arrived by then.
   Millis turn_began() const { return turn_began_; }
 
+  /// What is read in this turn had not yet arrived by then: when the poll(2) before this turn's returned.
+  /// After a stall of the process it tells how old the input may be.
+  Millis previous_poll() const { return previous_poll_; }
+
   /// The one buffer into which all streams read; its content is used up before the next read.
   BufferPool::Block& read_buffer() { return read_buffer_; }
 
@@ -98,6 +102,7 @@
   std::uint64_t last_serial_ = 0;
   Millis wall_clock_offset_;  // from the monotonic clock to Unix time
   Millis turn_began_;
+  Millis previous_poll_, latest_poll_;  // of those that did not fail
   BufferPool::Block read_buffer_{};
 
   Millis wait_until(Millis due) const;
--- a/src/policy/engine.cpp
+++ b/src/policy/engine.cpp
@@ -22,9 +22,10 @@
       actions_(actions),
       random_(settings.seed),
       workers_(settings_),
+      lease_(settings_, workers_, actions),
       times_(settings_),
       functions_(settings_, times_),
-      outliers_(settings_, workers_, times_, functions_, actions),
+      outliers_(settings_, workers_, lease_, times_, functions_, actions),
       slow_start_(settings_, workers_, outliers_, random_, actions),
       reports_(settings_, workers_, slow_start_, actions),
       limits_(settings_, workers_, reports_, random_),
@@ -35,11 +36,11 @@
                actions),
       selector_(settings_, functions_, times_, outliers_, slow_start_, limits_, admission_, retries_,
                 placement_),
-      scheduler_(settings_, workers_, functions_, requests_, times_, slow_start_, admission_, retries_,
-                 selector_, order_budget_, actions),
+      scheduler_(settings_, workers_, lease_, functions_, requests_, times_, slow_start_, admission_,
+                 retries_, selector_, order_budget_, actions),
       shedder_(functions_, requests_, times_, outliers_, limits_, admission_, retries_),
-      outcomes_(settings_, workers_, functions_, requests_, times_, outliers_, slow_start_, reports_, limits_,
-                order_budget_, retries_, actions) {
+      outcomes_(settings_, workers_, lease_, functions_, requests_, times_, outliers_, slow_start_, reports_,
+                limits_, order_budget_, retries_, actions) {
   if (settings_.ask_list) actions_.emit(action::Watch{true});
   actions_.emit(action::SetTimer{kSweepInterval, kSweepTimer});
 }
@@ -53,6 +54,12 @@
   scheduler_.consider_all(now);
 }
 
+void Engine::on(const event::ListLease& lease, Millis now) {
+  const bool was_current = lease_.is_list_current(now);
+  lease_.set_list_current_until(lease.until);
+  if (!was_current && lease_.is_list_current(now)) scheduler_.consider_all(now);
+}
+
 void Engine::apply(const WorkerChange& change) {
   switch (change.kind) {
     case WorkerChange::Kind::added: return reset(change.worker);
@@ -65,6 +72,7 @@
 }
 
 void Engine::reset(WorkerIndex worker) {
+  lease_.reset(worker);
   outliers_.reset(worker);
   slow_start_.reset(worker);
   reports_.reset(worker);
@@ -139,7 +147,10 @@
 
 void Engine::on(const event::Probed& probe, Millis now) {
   const Worker* worker = workers_.find(probe.worker);
-  if (worker != nullptr) outcomes_.record_probe(worker->index, probe, now);
+  if (worker == nullptr) return;
+  outcomes_.record_probe(worker->index, probe, now);
+  // What waits for the answer goes there or elsewhere now.
+  if (!lease_.is_list_current(now)) scheduler_.consider_all(now);
 }
 
 void Engine::on(const event::Peer& event, Millis now) {
@@ -193,6 +204,10 @@
   if (retries_.given_up_after_attempt() > 0) {
     counters["gave_up_after_attempt"] = retries_.given_up_after_attempt();
   }
+  counters["lease.asked"] = static_cast<double>(lease_.asked());
+  counters["lease.not_well"] = static_cast<double>(lease_.denied());
+  counters["now.list_stale"] = lease_.is_list_current(now) ? 0 : 1;
+  counters["now.withheld"] = static_cast<double>(lease_.withheld(now));
   for (std::size_t i = 0; i < kShedReasons; ++i) {
     const auto reason = static_cast<ShedReason>(i);
     if (shedder_.count(reason) > 0) {
--- a/src/policy/engine.h
+++ b/src/policy/engine.h
@@ -12,6 +12,7 @@
 #include "policy/load_order_budget.h"
 #include "policy/load_reports.h"
 #include "policy/load_shedder.h"
+#include "policy/membership_lease.h"
 #include "policy/outcome_recorder.h"
 #include "policy/outlier_detector.h"
 #include "policy/placement.h"
@@ -40,6 +41,7 @@
   void on(const event::Start&, Millis) {}  // Policy makes a new engine
   void on(const event::Stop&, Millis) {}   // Policy drops the engine
   void on(const event::List& list, Millis now);
+  void on(const event::ListLease& lease, Millis now);
   void on(const event::Request& event, Millis now);
   void on(const event::StreamBegan& event, Millis now);
   void on(const event::Answer& answer, Millis now);
@@ -57,6 +59,7 @@
   ActionSink& actions_;
   Random random_;
   WorkerTable workers_;
+  MembershipLease lease_;
   ServiceTimes times_;
   FunctionTable functions_;
   RequestTable requests_;
--- /dev/null
+++ b/src/policy/membership_lease.cpp
@@ -0,0 +1,87 @@
+#include "policy/membership_lease.h"
+
+#include <algorithm>
+#include <string>
+
+namespace pathstack::policy {
+namespace {
+
+/// Part of the drain grace for which a lease lasts. The rest is for the way to the worker.
+constexpr double kLeasePart = 0.6;
+constexpr Millis kAnswerTimeout{100};   // a probe unanswered for so long: other workers are tried
+constexpr Millis kAskAgain{400};        // the pace of probes at a worker that answers none
+constexpr Millis kNotWellFor{1000};     // a drain lasts seconds; a worker that recovers is asked again
+constexpr Millis kUnreachableFor{400};  // after a probe that could not be delivered
+
+}  // namespace
+
+MembershipLease::MembershipLease(const Settings& settings, const WorkerTable& workers, ActionSink& actions)
+    : settings_(settings), workers_(workers), actions_(actions), lease_(settings.drain_grace * kLeasePart) {}
+
+void MembershipLease::reset(WorkerIndex worker) {
+  if (records_.size() <= worker) records_.resize(worker + 1);
+  records_[worker] = Record();
+}
+
+bool MembershipLease::is_confirmed(WorkerIndex worker, Millis now) const {
+  return is_list_current(now) || now - records_[worker].accepted_at <= lease_;
+}
+
+bool MembershipLease::is_candidate(WorkerIndex worker, Millis now) const {
+  if (is_list_current(now)) return true;
+  const Record& record = records_[worker];
+  if (now < record.withheld_until) return false;
+  if (is_confirmed(worker, now)) return true;
+  if (!settings_.probes) return false;
+  const Millis unanswered_for = now - record.asked_at;
+  return unanswered_for <= kAnswerTimeout || unanswered_for > kAskAgain;
+}
+
+void MembershipLease::ask(WorkerIndex worker, Millis now) {
+  Record& record = records_[worker];
+  if (!settings_.probes || now - record.asked_at <= kAskAgain) return;
+  record.asked_at = now;
+  ++asked_;
+  actions_.emit(action::Probe{workers_[worker].worker});
+}
+
+void MembershipLease::accepted(WorkerIndex worker, Millis sent_at) {
+  Record& record = records_[worker];
+  record.accepted_at = std::max(record.accepted_at, sent_at);
+}
+
+bool MembershipLease::probe_ended(WorkerIndex worker, const event::Probed& probe, Millis now) {
+  Record& record = records_[worker];
+  record.asked_at = kNever;
+  if (probe.outcome == Outcome::ok) {
+    record.withheld_until = kNever;
+    accepted(worker, now - probe.elapsed);
+    return false;
+  }
+  record.accepted_at = kNever;
+  if (is_list_current(now)) return probe.outcome == Outcome::error;
+  switch (probe.outcome) {
+    case Outcome::error:
+      ++denied_;
+      withhold(worker, now + kNotWellFor, "not_well");
+      return true;
+    case Outcome::not_sent: withhold(worker, now + kLocalFaultBackoff, "not_sent"); break;
+    default: withhold(worker, now + kUnreachableFor, "unreachable"); break;
+  }
+  return false;
+}
+
+void MembershipLease::withhold(WorkerIndex worker, Millis until, const char* reason) {
+  records_[worker].withheld_until = until;
+  actions_.emit(action::Log{"worker.withheld worker=" + workers_[worker].worker + " reason=" + reason});
+}
+
+std::size_t MembershipLease::withheld(Millis now) const {
+  const auto is_withheld = [&](const Worker& worker) {
+    return worker.state == WorkerState::ready && !is_candidate(worker.index, now);
+  };
+  const auto& all = workers_.all();
+  return static_cast<std::size_t>(std::count_if(all.begin(), all.end(), is_withheld));
+}
+
+}  // namespace pathstack::policy
--- a/src/policy/outcome_recorder.cpp
+++ b/src/policy/outcome_recorder.cpp
@@ -29,13 +29,14 @@
 
 }  // namespace
 
-OutcomeRecorder::OutcomeRecorder(const Settings& settings, WorkerTable& workers, FunctionTable& functions,
-                                 RequestTable& requests, ServiceTimes& times, OutlierDetector& outliers,
-                                 SlowStart& slow_start, LoadReports& reports, ConcurrencyLimit& limits,
-                                 LoadOrderBudget& order_budget, const RetryPolicy& retries,
-                                 ActionSink& actions)
+OutcomeRecorder::OutcomeRecorder(const Settings& settings, WorkerTable& workers, MembershipLease& lease,
+                                 FunctionTable& functions, RequestTable& requests, ServiceTimes& times,
+                                 OutlierDetector& outliers, SlowStart& slow_start, LoadReports& reports,
+                                 ConcurrencyLimit& limits, LoadOrderBudget& order_budget,
+                                 const RetryPolicy& retries, ActionSink& actions)
     : settings_(settings),
       workers_(workers),
+      lease_(lease),
       functions_(functions),
       requests_(requests),
       times_(times),
@@ -83,7 +84,7 @@
       instance.loaded = 0;
       request.function->missed = true;
       return;
-    case Outcome::full: return limits_.record_full(worker, now);
+    case Outcome::full: lease_.turned_away(worker); return limits_.record_full(worker, now);
     case Outcome::connect_failed: return outliers_.connection_failed(worker, false, now);
     case Outcome::reset: return outliers_.connection_failed(worker, true, now);
     case Outcome::unreachable: return outliers_.network_unreachable(worker, now);
@@ -95,6 +96,7 @@
 
 void OutcomeRecorder::record_success(const Request& request, const Attempt& attempt, Instance& instance,
                                      const event::Answer& answer, Millis now) {
+  lease_.accepted(attempt.worker, attempt.sent_at);
   record_times(request, attempt, answer, now);
   outliers_.record_success(attempt.worker, request.class_index, now);
   request.function->missed = false;
@@ -163,6 +165,7 @@
     if (order.copies == 0) function.no_order_before = now + kLeastSilence;
     if (order.copies > 0) function.missed = false;
   }
+  if (order.outcome == Outcome::full) lease_.turned_away(worker);
   switch (order.outcome) {
     case Outcome::connect_failed: return outliers_.connection_failed(worker, false, now);
     case Outcome::reset: return outliers_.connection_failed(worker, true, now);
@@ -176,6 +179,9 @@
 }
 
 void OutcomeRecorder::record_probe(WorkerIndex worker, const event::Probed& probe, Millis now) {
+  // A worker that drains says so: it runs, and is no outlier.
+  const bool not_well = lease_.probe_ended(worker, probe, now);
+  if (not_well && !lease_.is_list_current(now)) return note_alive(worker, now);
   if (probe.outcome != Outcome::ok) return outliers_.probe_failed(worker, probe.outcome, now);
   outliers_.probe_answered(worker);
   note_alive(worker, now);
--- a/src/policy/outcome_recorder.h
+++ b/src/policy/outcome_recorder.h
@@ -6,6 +6,7 @@
 #include "policy/function_table.h"
 #include "policy/load_order_budget.h"
 #include "policy/load_reports.h"
+#include "policy/membership_lease.h"
 #include "policy/outlier_detector.h"
 #include "policy/request_table.h"
 #include "policy/retry_policy.h"
@@ -22,10 +23,11 @@
 /// O(requests).
 class OutcomeRecorder {
  public:
-  OutcomeRecorder(const Settings& settings, WorkerTable& workers, FunctionTable& functions,
-                  RequestTable& requests, ServiceTimes& times, OutlierDetector& outliers,
-                  SlowStart& slow_start, LoadReports& reports, ConcurrencyLimit& limits,
-                  LoadOrderBudget& order_budget, const RetryPolicy& retries, ActionSink& actions);
+  OutcomeRecorder(const Settings& settings, WorkerTable& workers, MembershipLease& lease,
+                  FunctionTable& functions, RequestTable& requests, ServiceTimes& times,
+                  OutlierDetector& outliers, SlowStart& slow_start, LoadReports& reports,
+                  ConcurrencyLimit& limits, LoadOrderBudget& order_budget, const RetryPolicy& retries,
+                  ActionSink& actions);
 
   /// `attempt` of `request` has ended with the answer.
   void record_attempt(Request& request, const Attempt& attempt, const event::Answer& answer, Millis now);
@@ -42,6 +44,7 @@
  private:
   const Settings& settings_;
   WorkerTable& workers_;
+  MembershipLease& lease_;
   FunctionTable& functions_;
   RequestTable& requests_;
   ServiceTimes& times_;
--- a/src/policy/outlier_detector.cpp
+++ b/src/policy/outlier_detector.cpp
@@ -20,9 +20,11 @@
 }  // namespace
 
 OutlierDetector::OutlierDetector(const Settings& settings, const WorkerTable& workers,
-                                 const ServiceTimes& times, FunctionTable& functions, ActionSink& actions)
+                                 const MembershipLease& lease, const ServiceTimes& times,
+                                 FunctionTable& functions, ActionSink& actions)
     : settings_(settings),
       workers_(workers),
+      lease_(lease),
       times_(times),
       functions_(functions),
       actions_(actions),
@@ -48,7 +50,7 @@
 
 bool OutlierDetector::is_usable(WorkerIndex index, Millis now) const {
   const Worker& worker = workers_[index];
-  if (worker.state != WorkerState::ready) return false;
+  if (worker.state != WorkerState::ready || !lease_.is_candidate(index, now)) return false;
   const Record& record = records_[index];
   if (!admits(record.whole, worker, now) || is_silent(index, now)) return false;
   return now - record.suspect_since > kLeastSilence;
--- a/src/policy/outlier_detector.h
+++ b/src/policy/outlier_detector.h
@@ -7,6 +7,7 @@
 
 #include "policy/common.h"
 #include "policy/function_table.h"
+#include "policy/membership_lease.h"
 #include "policy/service_times.h"
 #include "policy/worker_table.h"
 
@@ -31,14 +32,15 @@
 /// but for marking down: O(functions x instances).
 class OutlierDetector {
  public:
-  OutlierDetector(const Settings& settings, const WorkerTable& workers, const ServiceTimes& times,
-                  FunctionTable& functions, ActionSink& actions);
+  OutlierDetector(const Settings& settings, const WorkerTable& workers, const MembershipLease& lease,
+                  const ServiceTimes& times, FunctionTable& functions, ActionSink& actions);
 
   /// A new worker takes the place, or its worker was pruned.
   void reset(WorkerIndex worker);
   /// Another process: what was judged is void.
   void restarted(WorkerIndex worker);
 
+  /// Ready by the list, healthy as a whole, and not withheld while the list is not current.
   bool is_usable(WorkerIndex index, Millis now) const;
   /// Not ejected for requests of this class; is_usable is a condition of its own.
   bool serves_class(WorkerIndex index, int class_index, Millis now) const;
@@ -91,6 +93,7 @@
 
   const Settings& settings_;
   const WorkerTable& workers_;
+  const MembershipLease& lease_;
   const ServiceTimes& times_;
   FunctionTable& functions_;
   ActionSink& actions_;
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -6,12 +6,13 @@
 
 namespace pathstack::policy {
 
-Scheduler::Scheduler(const Settings& settings, WorkerTable& workers, FunctionTable& functions,
-                     RequestTable& requests, const ServiceTimes& times, SlowStart& slow_start,
-                     const Admission& admission, RetryPolicy& retries, WorkerSelector& selector,
-                     LoadOrderBudget& order_budget, ActionSink& actions)
+Scheduler::Scheduler(const Settings& settings, WorkerTable& workers, MembershipLease& lease,
+                     FunctionTable& functions, RequestTable& requests, const ServiceTimes& times,
+                     SlowStart& slow_start, const Admission& admission, RetryPolicy& retries,
+                     WorkerSelector& selector, LoadOrderBudget& order_budget, ActionSink& actions)
     : settings_(settings),
       workers_(workers),
+      lease_(lease),
       functions_(functions),
       requests_(requests),
       times_(times),
@@ -50,7 +51,8 @@
 }
 
 void Scheduler::consider(Function& function, Millis now) {
-  send_queued(function, now);
+  // A load would be too much where a probe's answer lets the queue go on in a moment.
+  if (send_queued(function, now) == Blocked::worker_unconfirmed) return;
   if (function.queue.empty() || queued_after_load(function, usable_slots(function, now)) <= 0) return;
   const Request& next = *admission_.next_in_queue(function, now);
   const auto worker = selector_.load_candidate(function, next, now);
@@ -82,15 +84,21 @@
   consider(function, now);
 }
 
-void Scheduler::send_queued(Function& function, Millis now) {
+Scheduler::Blocked Scheduler::send_queued(Function& function, Millis now) {
   while (Request* next = admission_.next_in_queue(function, now)) {
     Instance* instance = selector_.warm_instance(function, *next, now);
-    if (instance == nullptr) return;
+    if (instance == nullptr) return Blocked::no_instance;
+    if (!lease_.is_confirmed(instance->worker, now)) {
+      lease_.ask(instance->worker, now);
+      return Blocked::worker_unconfirmed;
+    }
     send(*next, *instance, now);
   }
+  return Blocked::queue_is_empty;
 }
 
 void Scheduler::start_load(Function& function, WorkerIndex worker, Millis now) {
+  if (!lease_.is_confirmed(worker, now)) return lease_.ask(worker, now);
   Instance& instance = function.instance_at(worker);
   if (instance.loading > 0) return;
   Request& next = *admission_.next_in_queue(function, now);
@@ -99,7 +107,8 @@
     if (!retries_.may_send(next, worker, now)) return;
     instance.loaded = 1;
     send(next, instance, now);
-    return send_queued(function, now);
+    send_queued(function, now);
+    return;
   }
   if (may_order && now >= function.no_order_before) order_load(function, instance, now);
 }
--- a/src/policy/scheduler.h
+++ b/src/policy/scheduler.h
@@ -5,6 +5,7 @@
 #include "policy/common.h"
 #include "policy/function_table.h"
 #include "policy/load_order_budget.h"
+#include "policy/membership_lease.h"
 #include "policy/request_table.h"
 #include "policy/retry_policy.h"
 #include "policy/service_times.h"
@@ -27,10 +28,10 @@
 /// O(functions with a queue x instances).
 class Scheduler {
  public:
-  Scheduler(const Settings& settings, WorkerTable& workers, FunctionTable& functions, RequestTable& requests,
-            const ServiceTimes& times, SlowStart& slow_start, const Admission& admission,
-            RetryPolicy& retries, WorkerSelector& selector, LoadOrderBudget& order_budget,
-            ActionSink& actions);
+  Scheduler(const Settings& settings, WorkerTable& workers, MembershipLease& lease, FunctionTable& functions,
+            RequestTable& requests, const ServiceTimes& times, SlowStart& slow_start,
+            const Admission& admission, RetryPolicy& retries, WorkerSelector& selector,
+            LoadOrderBudget& order_budget, ActionSink& actions);
 
   /// Sends what may be sent of the function's queue; then begins one load if E > 0.
   void consider(Function& function, Millis now);
@@ -42,6 +43,7 @@
  private:
   const Settings& settings_;
   WorkerTable& workers_;
+  MembershipLease& lease_;
   FunctionTable& functions_;
   RequestTable& requests_;
   const ServiceTimes& times_;
@@ -55,7 +57,9 @@
   int usable_slots(const Function& function, Millis now) const;
   double queued_after_load(const Function& function, int slots) const;
   double weight_to_load(const Function& function, Millis now) const;
-  void send_queued(Function& function, Millis now);
+  /// What kept the head of a queue from being sent.
+  enum class Blocked { queue_is_empty, no_instance, worker_unconfirmed };
+  Blocked send_queued(Function& function, Millis now);
   void start_load(Function& function, WorkerIndex worker, Millis now);
   bool loads_by_sending(const Function& function, const Request& next, bool may_order) const;
   void order_load(Function& function, Instance& instance, Millis now);
--- a/tests/invoker/host_faults_test.cpp
+++ b/tests/invoker/host_faults_test.cpp
@@ -63,6 +63,8 @@
   void on_probe_ended(core::ProbeOutcome&& end) override { probes.push_back(end.outcome); }
   void on_connection_closed(hosts::Connection&) override { closed = true; }
   bool take_load_budget() override { return true; }
+  bool may_still_write(Millis) override { return may_write_after_waiting; }
+  bool may_write_after_waiting = true;
 };
 
 // Failure found in review: a connect that failed here made the module suspect or eject the host.
@@ -248,6 +250,41 @@
   CHECK(calls.connects == 2);  // neither does the same stamp again nor none
 }
 
+// Found with the incident of 2026-12-02: a call chosen in time left when its connection came up, up to 250 ms
+// later.
+TEST_CASE("calls and load orders that have waited too long for their connection are not written") {
+  SingleConnection single;
+  single.host.react = [](const std::string&) { return Reaction(); };
+  single.may_write_after_waiting = false;
+  single.connect();
+  single.connection->exec({1, 0}, call_of("000000000000000a"), Millis(5000));
+  single.connection->order_load("t1", 0xa1, 1);
+  single.connection->probe("p1");
+  REQUIRE(single.turn_until([&] { return single.probes.size() + single.loads.size() == 2; }));
+  CHECK(single.attempts.at({1, 0}) == Outcome::not_sent);
+  CHECK(single.loads == std::vector<Outcome>{Outcome::timeout});
+  CHECK(single.probes == std::vector<Outcome>{Outcome::ok});  // a probe is always allowed
+  CHECK(single.host.execs == 0);
+  CHECK(single.host.orders == 0);
+  single.connection->exec({2, 0}, call_of("000000000000000b"), Millis(5000));
+  REQUIRE(single.turn_until([&] { return single.attempts.size() == 2; }));
+  CHECK(single.attempts.at({2, 0}) == Outcome::ok);
+}
+
+TEST_CASE("what waits for a connection while the list is stale is bounded by a part of the drain grace") {
+  hosts::Limits limits = World::limits();
+  limits.drain_grace = Millis(250);
+  World world(1, settings(), limits);
+  const Millis now = world.loop.now();
+  hosts::ConnectionPool& pool = world.fleet;
+  hosts::ConnectionObserver& observer = pool.observer();
+  CHECK(observer.may_still_write(now - Millis(10000)));
+  pool.list_lease(now - Millis(1));
+  CHECK_FALSE(observer.may_still_write(now - Millis(60)));
+  CHECK(observer.may_still_write(world.loop.now()));
+  CHECK(world.counters.value(core::Counter::guard_waited_too_long) == 1);
+}
+
 TEST_CASE("an attempt whose time is over when its connection comes up does not leave") {
   SingleConnection single;
   single.host.react = [](const std::string&) { return Reaction(); };
--- a/tests/invoker/parsers_test.cpp
+++ b/tests/invoker/parsers_test.cpp
@@ -162,7 +162,8 @@
   CHECK(list.members[0].entry.state == core::WorkerState::draining);
   CHECK(list.members[0].entry.started == Millis(5));
   CHECK(log.read_line(event(4), list) == feed::EventSequence::Result::no_update);
-  CHECK(log.read_line("4", list) == feed::EventSequence::Result::no_update);
+  CHECK(log.read_line("4", list) == feed::EventSequence::Result::up_to_date);
+  CHECK(log.read_line("3", list) == feed::EventSequence::Result::no_update);
   CHECK(log.read_line("6", list) == feed::EventSequence::Result::gap);
   CHECK(log.read_line(event(6), list) == feed::EventSequence::Result::gap);
   CHECK(log.read_line("{", list) == feed::EventSequence::Result::malformed);
--- a/tests/invoker/process_test.cpp
+++ b/tests/invoker/process_test.cpp
@@ -100,16 +100,21 @@
   net::Loop loop;
   net::BufferPool pool{256};
   StandInHost host{loop, pool};
+  StandInLog log{loop, pool};
   TemporaryFile file;
   nlohmann::json config;
   std::optional<Process> program;
 
+  // The log is in reach, as a list that cannot be confirmed would keep the program from using the host.
   explicit Site(double deadline) {
+    log.events = 1;
+    log.stays_open = true;
+    log.breaks_off = false;
     config = {{"name", "n1"},
               {"listen", "127.0.0.1:0"},
               {"seed", "8c1f30d27a5be964"},
               {"limits", {{"memory_mb", 64}, {"sockets", 256}}},
-              {"changelog", "127.0.0.1:9"},
+              {"changelog", log.server.address()},
               {"known", {{"seq", 1}, {"results", nlohmann::json::array()}}}};
     config["known"]["results"].push_back(
         {{"seq", 1},
@@ -129,16 +134,29 @@
     file.write(config);
     program.emplace(file.path());
     REQUIRE(turn_until([&] { return program->log().find("listens on ") != std::string::npos; }));
-    const std::string& log = program->log();
-    const auto at = log.find("listens on ") + 11;
-    return log.substr(at, log.find('\n', at) - at);
+    const std::string& output = program->log();
+    const auto at = output.find("listens on ") + 11;
+    return output.substr(at, output.find('\n', at) - at);
   }
   template <typename Until>
   bool turn_until(const Until& until) {
     const Millis end = loop.now() + kWaitMost;
-    while (!until() && loop.now() < end) loop.turn(loop.now() + Millis(10), [] {});
+    while (!until() && loop.now() < end) {
+      loop.turn(loop.now() + Millis(10), [] {});
+      tell_number();
+    }
     return until();
   }
+
+ private:
+  Millis number_due_{0};
+
+  // As the log does each second.
+  void tell_number() {
+    if (loop.now() < number_due_) return;
+    number_due_ = loop.now() + Millis(1000);
+    for (const auto& peer : log.server.peers) peer->write(std::to_string(log.events) + "\n");
+  }
 };
 
 class Client final : public net::Stream {
--- a/tests/policy/outcome_recorder_test.cpp
+++ b/tests/policy/outcome_recorder_test.cpp
@@ -33,9 +33,9 @@
 
   Parts parts;
   LoadOrderBudget order_budget{parts.settings};
-  OutcomeRecorder recorder{parts.settings, parts.workers,  parts.functions,  parts.requests,
-                           parts.times,    parts.outliers, parts.slow_start, parts.reports,
-                           parts.limits,   order_budget,   parts.retries,    parts.actions};
+  OutcomeRecorder recorder{parts.settings, parts.workers,  parts.lease,      parts.functions, parts.requests,
+                           parts.times,    parts.outliers, parts.slow_start, parts.reports,   parts.limits,
+                           order_budget,   parts.retries,  parts.actions};
   WorkerIndex worker = parts.add_worker(entry("a"));
   Function& function = parts.add_function(1);
   int requests = 0;
--- a/tests/policy/parts.h
+++ b/tests/policy/parts.h
@@ -9,6 +9,7 @@
 #include "policy/concurrency_limit.h"
 #include "policy/function_table.h"
 #include "policy/load_reports.h"
+#include "policy/membership_lease.h"
 #include "policy/outlier_detector.h"
 #include "policy/request_table.h"
 #include "policy/retry_policy.h"
@@ -26,6 +27,7 @@
   WorkerIndex add_worker(const WorkerEntry& worker) {
     workers.apply({ListKind::delta, {worker}}, now);
     const WorkerIndex index = workers.find(worker.worker)->index;
+    lease.reset(index);
     outliers.reset(index);
     slow_start.reset(index);
     reports.reset(index);
@@ -65,10 +67,11 @@
   ActionSink actions;
   Random random{7};
   WorkerTable workers{settings};
+  MembershipLease lease{settings, workers, actions};
   ServiceTimes times{settings};
   FunctionTable functions{settings, times};
   RequestTable requests;
-  OutlierDetector outliers{settings, workers, times, functions, actions};
+  OutlierDetector outliers{settings, workers, lease, times, functions, actions};
   SlowStart slow_start{settings, workers, outliers, random, actions};
   LoadReports reports{settings, workers, slow_start, actions};
   ConcurrencyLimit limits{settings, workers, reports, random};
