--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -101,6 +101,7 @@
 }
 
 void Fleet::apply(const LogDelayFault& fault) {
+  record_.delays.push_back({clock_(), clock_() + fault.length, fault.delay});
   for (LogAccess& access : log_proxies_) {
     FaultProxy* const proxy = access.current;
     proxy->set_delay(fault.delay);
--- a/tests/soak/judge/drain_rule.h
+++ b/tests/soak/judge/drain_rule.h
@@ -7,9 +7,9 @@
 namespace pathstack::soak {
 
 /// When an event of the membership log counts as told to an invoker by the pages, whatever it has received:
-/// at once; during an outage 2 s after a break, 4 s after the log stopped or SIGHUP moved it, but not before
-/// the event itself; in any case as soon as the invoker's next question has reached the log.
-/// Cost: linear in the outages and asks.
+/// at once; during an outage, or on its way when one begins, 2 s after a break, 4 s after the log stopped or
+/// SIGHUP moved it, but not before the event itself; in any case as soon as the invoker's next question has
+/// reached the log. Cost: linear in the outages and asks.
 Millis counts_as_told(const Record& record, int invoker, Millis event_at);
 
 /// No call and no order to load begins later than the grace after a drain or removal counts as told.
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -69,6 +69,13 @@
     CHECK(counts_as_told(record, 0, Millis(700)) == Millis(4500));
     CHECK(counts_as_told(record, 0, Millis(6000)) == Millis(6000));
   }
+  SECTION("an event that was on its way when the connection broke") {
+    record.outages = {{0, LogFault::refused, Millis(800), Millis(9000)}};
+    CHECK(counts_as_told(record, 0, Millis(700)) == Millis(700));
+    record.delays = {{Millis(600), Millis(900), Millis(150)}};
+    CHECK(counts_as_told(record, 0, Millis(700)) == Millis(2800));
+    CHECK(counts_as_told(record, 0, Millis(640)) == Millis(640));
+  }
   SECTION("as soon as the invoker's next question has reached the log") {
     record.outages = {{0, LogFault::silent, Millis(500), Millis(1000)}};
     record.asks = {{0, Millis(600)}, {0, Millis(1200)}, {1, Millis(800)}};
@@ -126,6 +133,8 @@
   life.killed = life.ended = Millis(5050);
   record.lives.push_back(life);
   CHECK(judge(record).empty());
+  record.lives[0].killed = Millis(4990);
+  CHECK(judge(record).empty());  // it was sent to a process that was dead already
   record.lives[0].killed = record.lives[0].ended = Millis(4000);
   names_only(check_answers(record), "answer");
 }
--- a/tests/soak/record.h
+++ b/tests/soak/record.h
@@ -49,6 +49,11 @@
   Millis from{0}, to{0};
 };
 
+/// A time in which the log's bytes took so much longer on their way to every invoker.
+struct LogDelay {
+  Millis from{0}, to{0}, delay{0};
+};
+
 /// A `since N` line that reached the log.
 struct LogAsk {
   int invoker = 0;
@@ -109,6 +114,7 @@
   RuleSettings rules;
   std::vector<MembershipChange> changes;
   std::vector<LogOutage> outages;
+  std::vector<LogDelay> delays;
   std::vector<LogAsk> asks;
   std::vector<HostRequest> requests;
   std::vector<Call> calls;
