Leases: last 0.8 of the drain grace, and allow for the way of lines and breaks

What waits for a connection may take 0.2 of the grace, so both together stay within it. A line may be late by its way, so the platform's clocks count 250 ms less from its arrival.

--- a/src/feed/list_lease.h
+++ b/src/feed/list_lease.h
@@ -18,6 +18,8 @@
  public:
   /// The platform's clocks.
   static constexpr core::Millis kAfterBreak{2000}, kAfterStop{4000}, kAfterMove{4000};
+  /// Allowance for the way of a line or a break to this invoker, by which it is older than its arrival.
+  static constexpr core::Millis kTransit{250};
 
   /// Before the first line nothing says how old the list of the configuration is.
   explicit ListLease(core::Millis now) : until_(now) {}
@@ -27,7 +29,7 @@
   /// A line showed that no event before it is missing; it arrived at `at` or later.
   void confirmed(core::Millis at) {
     asked_ = false;
-    until_ = std::max(until_, at + kAfterStop);
+    until_ = std::max(until_, at + kAfterStop - kTransit);
   }
   /// An event arrived on a connection that was up to date: what is behind it follows at once.
   void event_received(core::Millis at) {
@@ -40,8 +42,8 @@
   }
   /// The log has events that this invoker does not have.
   void fell_behind(core::Millis now) { asked(now); }
-  void connection_broke(core::Millis now) { shorten(now + kAfterBreak); }
-  void log_moved(core::Millis now) { shorten(now + kAfterMove); }
+  void connection_broke(core::Millis now) { shorten(now + kAfterBreak - kTransit); }
+  void log_moved(core::Millis now) { shorten(now + kAfterMove - kTransit); }
 
  private:
   core::Millis until_;
--- a/src/policy/membership_lease.cpp
+++ b/src/policy/membership_lease.cpp
@@ -6,8 +6,9 @@
 namespace pathstack::policy {
 namespace {
 
-/// Part of the drain grace for which a lease lasts. The rest is for the way to the worker.
-constexpr double kLeasePart = 0.6;
+/// Part of the drain grace for which a lease lasts. The rest is for the way to the worker: the invoker writes
+/// nothing that has waited longer for its connection.
+constexpr double kLeasePart = 0.8;
 constexpr Millis kAnswerTimeout{100};   // a probe unanswered for so long: other workers are tried
 constexpr Millis kAskAgain{400};        // the pace of probes at a worker that answers none
 constexpr Millis kNotWellFor{1000};     // a drain lasts seconds; a worker that recovers is asked again
