A worker whose process was replaced unheard, the list being stale, warms up

Related find of the incident's class, a belief that outlives what vouches for it: a worker that drained, went and came back while the membership log was out of reach kept its warm instances and its full share of calls.

While the list is stale, a worker that said it is not well and then answers well, or that closed the last connection to it, counts as a new process: its instances are forgotten and its warm-up begins (ConnectionPool reports the loss, OutcomeRecorder acts on it). While the list is current nothing changes. Workers that answer no probe are asked again after 1 s, not 0.4 s, as each question keeps what waits for them for 0.1 s.

--- a/include/pathstack/policy.h
+++ b/include/pathstack/policy.h
@@ -104,6 +104,11 @@
 struct ListLease {
   Millis until{0};
 };
+/// Never comes over the simulator's wire: the worker has closed the last connection to it. Its process may
+/// have ended, and another one may run.
+struct ConnectionsLost {
+  std::string worker;
+};
 struct Request {
   std::string id, class_name, tenant;
   std::optional<double> cost_hint;
@@ -152,9 +157,9 @@
   std::string text;
 };
 }  // namespace event
-using Event =
-    std::variant<event::Start, event::Stop, event::List, event::ListLease, event::Request, event::StreamBegan,
-                 event::Answer, event::Left, event::Timer, event::Probed, event::Loaded, event::Peer>;
+using Event = std::variant<event::Start, event::Stop, event::List, event::ListLease, event::ConnectionsLost,
+                           event::Request, event::StreamBegan, event::Answer, event::Left, event::Timer,
+                           event::Probed, event::Loaded, event::Peer>;
 
 namespace action {
 struct Send {
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -136,6 +136,10 @@
 void Dispatcher::probe_ended(ProbeOutcome&& end) { apply_steps(module_.report(clock_(), end)); }
 void Dispatcher::members(HostList&& list) { apply_steps(module_.report(clock_(), list)); }
 
+void Dispatcher::connections_lost(const std::string& host) {
+  apply_steps(module_.report(clock_(), HostConnectionsLost{host}));
+}
+
 void Dispatcher::list_lease(Millis until) { apply_steps(module_.report(clock_(), ListLease{until})); }
 
 bool Dispatcher::take_load_budget() {
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -56,6 +56,8 @@
   void probe_ended(ProbeOutcome&& end);
   /// The membership log has a complete list, or changes. The hosts must know of them before.
   void members(HostList&& list);
+  /// A host has closed the last connection to it.
+  void connections_lost(const std::string& host);
   /// The list of hosts may be relied on until then. The hosts must know of it before.
   void list_lease(Millis until);
   /// Asked when a load order is about to be written; false, and counted, if the load budget is spent.
--- a/src/core/module.cpp
+++ b/src/core/module.cpp
@@ -29,6 +29,7 @@
   return event::Probed{o.host, o.outcome, o.elapsed, o.report};
 }
 pathstack::policy::Event event_of(const CallLeft& o) { return event::Left{std::to_string(o.call)}; }
+pathstack::policy::Event event_of(const HostConnectionsLost& o) { return event::ConnectionsLost{o.host}; }
 pathstack::policy::Event event_of(const ListLease& o) { return event::ListLease{o.until}; }
 pathstack::policy::Event event_of(const HostList& o) { return event::List{o.kind, o.entries}; }
 
--- a/src/core/module.h
+++ b/src/core/module.h
@@ -93,8 +93,13 @@
 struct ListLease {
   Millis until{0};
 };
+/// A host has closed the last connection to it.
+struct HostConnectionsLost {
+  std::string host;
+};
 /// What can be reported to the module.
-using Reported = std::variant<AttemptOutcome, LoadOutcome, ProbeOutcome, CallLeft, HostList, ListLease>;
+using Reported = std::variant<AttemptOutcome, LoadOutcome, ProbeOutcome, CallLeft, HostList, ListLease,
+                              HostConnectionsLost>;
 
 /// The decision module and its timers. Owned by the dispatcher; knows no clock: every call states the time,
 /// which must not decrease. Cost of every call that returns steps: a decision of `policy::Policy`.
--- a/src/hosts/connection.h
+++ b/src/hosts/connection.h
@@ -70,6 +70,10 @@
   bool idle() const { return open() && load() == 0 && outbox().empty(); }
   /// When bytes last came, or something was last sent.
   Millis last_used() const { return monitor_.liveness().last_used(); }
+  /// True if it ever came up.
+  bool was_up() const { return monitor_.liveness().ever_connected(); }
+  /// True once the host runs another process than the one that it leads to.
+  bool is_replaced() const { return replaced_; }
   /// False once the process that it leads to was replaced: it does not count among the new one's connections.
   bool counts_for_host() const { return (open() || connecting()) && !replaced_; }
   /// True if an attempt may go out here under `ref`; empty for an order or a probe. Cost: logarithmic in the
--- a/src/hosts/connection_pool.cpp
+++ b/src/hosts/connection_pool.cpp
@@ -230,6 +230,13 @@
                                   [&](const auto& other) { return other.get() == &connection; });
   loop_.defer_destruction(*found);
   connections.erase(found);
+  const bool by_host = connection.end_cause() == net::StreamEnd::closed_by_peer ||
+                       connection.end_cause() == net::StreamEnd::reset_by_peer;
+  const bool another_is_up = std::any_of(connections.begin(), connections.end(), [](const auto& other) {
+    return other->open() && other->counts_for_host();
+  });
+  const bool was_of_process = connection.was_up() && !connection.is_replaced();
+  if (was_of_process && by_host && !another_is_up) dispatcher_->connections_lost(connection.host());
 }
 
 }  // namespace pathstack::hosts
--- a/src/policy/engine.cpp
+++ b/src/policy/engine.cpp
@@ -60,6 +60,11 @@
   if (!was_current && lease_.is_list_current(now)) scheduler_.consider_all(now);
 }
 
+void Engine::on(const event::ConnectionsLost& lost, Millis now) {
+  const Worker* worker = workers_.find(lost.worker);
+  if (worker != nullptr) outcomes_.record_connections_lost(worker->index, now);
+}
+
 void Engine::apply(const WorkerChange& change) {
   switch (change.kind) {
     case WorkerChange::Kind::added: return reset(change.worker);
--- a/src/policy/engine.h
+++ b/src/policy/engine.h
@@ -42,6 +42,7 @@
   void on(const event::Stop&, Millis) {}   // Policy drops the engine
   void on(const event::List& list, Millis now);
   void on(const event::ListLease& lease, Millis now);
+  void on(const event::ConnectionsLost& lost, Millis now);
   void on(const event::Request& event, Millis now);
   void on(const event::StreamBegan& event, Millis now);
   void on(const event::Answer& answer, Millis now);
--- a/src/policy/membership_lease.cpp
+++ b/src/policy/membership_lease.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 
 namespace pathstack::policy {
 namespace {
@@ -9,10 +10,10 @@
 /// Part of the drain grace for which a lease lasts. The rest is for the way to the worker: the invoker writes
 /// nothing that has waited longer for its connection.
 constexpr double kLeasePart = 0.8;
-constexpr Millis kAnswerTimeout{100};   // a probe unanswered for so long: other workers are tried
-constexpr Millis kAskAgain{400};        // the pace of probes at a worker that answers none
-constexpr Millis kNotWellFor{1000};     // a drain lasts seconds; a worker that recovers is asked again
-constexpr Millis kUnreachableFor{400};  // after a probe that could not be delivered
+constexpr Millis kAnswerTimeout{100};    // a probe unanswered for so long: other workers are tried
+constexpr Millis kAskAgain{1000};        // the pace of probes at a worker that answers none
+constexpr Millis kNotWellFor{1000};      // a drain lasts seconds; a worker that recovers is asked again
+constexpr Millis kUnreachableFor{1000};  // after a probe that could not be delivered
 
 }  // namespace
 
@@ -51,25 +52,31 @@
   record.accepted_at = std::max(record.accepted_at, sent_at);
 }
 
-bool MembershipLease::probe_ended(WorkerIndex worker, const event::Probed& probe, Millis now) {
+MembershipLease::Word MembershipLease::probe_ended(WorkerIndex worker, const event::Probed& probe,
+                                                   Millis now) {
   Record& record = records_[worker];
   record.asked_at = kNever;
+  const bool stale = !is_list_current(now);
   if (probe.outcome == Outcome::ok) {
+    const bool was_not_well = std::exchange(record.was_not_well, false);
     record.withheld_until = kNever;
     accepted(worker, now - probe.elapsed);
-    return false;
+    if (!stale) return Word::none;
+    return was_not_well ? Word::well_again : Word::well;
   }
   record.accepted_at = kNever;
-  if (is_list_current(now)) return probe.outcome == Outcome::error;
-  switch (probe.outcome) {
-    case Outcome::error:
-      ++denied_;
-      withhold(worker, now + kNotWellFor, "not_well");
-      return true;
-    case Outcome::not_sent: withhold(worker, now + kLocalFaultBackoff, "not_sent"); break;
-    default: withhold(worker, now + kUnreachableFor, "unreachable"); break;
-  }
-  return false;
+  if (!stale) return Word::none;
+  if (probe.outcome == Outcome::error) return deny(worker, now);
+  const bool local = probe.outcome == Outcome::not_sent;
+  withhold(worker, now + (local ? kLocalFaultBackoff : kUnreachableFor), local ? "not_sent" : "unreachable");
+  return Word::none;
+}
+
+MembershipLease::Word MembershipLease::deny(WorkerIndex worker, Millis now) {
+  records_[worker].was_not_well = true;
+  ++denied_;
+  withhold(worker, now + kNotWellFor, "not_well");
+  return Word::not_well;
 }
 
 void MembershipLease::withhold(WorkerIndex worker, Millis until, const char* reason) {
--- a/src/policy/membership_lease.h
+++ b/src/policy/membership_lease.h
@@ -44,8 +44,18 @@
   void accepted(WorkerIndex worker, Millis sent_at);
   /// It has turned a call or an order away: full, or draining.
   void turned_away(WorkerIndex worker) { records_[worker].accepted_at = kNever; }
-  /// A probe has ended, whoever asked for it; true if the worker said that it is not well.
-  bool probe_ended(WorkerIndex worker, const event::Probed& probe, Millis now);
+  /// Its process may have ended: nothing that it accepted vouches for it.
+  void connections_lost(WorkerIndex worker) { records_[worker].accepted_at = kNever; }
+
+  /// What the end of a probe says of the worker while the list is not current.
+  enum class Word {
+    none,       // no word of its own, or the list is current
+    well,       // it takes new work
+    not_well,   // it drains, or is ill
+    well_again  // it was not well before: a drain ends with the process, so another one answers
+  };
+  /// A probe has ended, whoever asked for it.
+  Word probe_ended(WorkerIndex worker, const event::Probed& probe, Millis now);
 
   /// Workers that are ready by the list and not candidates now. O(workers).
   std::size_t withheld(Millis now) const;
@@ -59,6 +69,7 @@
     Millis accepted_at{kNever};     // it was not draining then
     Millis asked_at{kNever};        // kNever: no probe is out
     Millis withheld_until{kNever};  // it is not well, or cannot be asked
+    bool was_not_well = false;      // by its last word
   };
 
   const Settings& settings_;
@@ -69,6 +80,7 @@
   std::vector<Record> records_;  // by WorkerIndex
   std::size_t asked_ = 0, denied_ = 0;
 
+  Word deny(WorkerIndex worker, Millis now);
   void withhold(WorkerIndex worker, Millis until, const char* reason);
 };
 
--- a/src/policy/outcome_recorder.cpp
+++ b/src/policy/outcome_recorder.cpp
@@ -180,14 +180,27 @@
 
 void OutcomeRecorder::record_probe(WorkerIndex worker, const event::Probed& probe, Millis now) {
   // A worker that drains says so: it runs, and is no outlier.
-  const bool not_well = lease_.probe_ended(worker, probe, now);
-  if (not_well && !lease_.is_list_current(now)) return note_alive(worker, now);
+  const MembershipLease::Word word = lease_.probe_ended(worker, probe, now);
+  if (word == MembershipLease::Word::not_well) return note_alive(worker, now);
+  if (word == MembershipLease::Word::well_again) process_replaced(worker, now);
   if (probe.outcome != Outcome::ok) return outliers_.probe_failed(worker, probe.outcome, now);
   outliers_.probe_answered(worker);
   note_alive(worker, now);
   reports_.record(worker, probe.report, now);
 }
 
+void OutcomeRecorder::record_connections_lost(WorkerIndex worker, Millis now) {
+  if (lease_.is_list_current(now)) return;
+  lease_.connections_lost(worker);
+  process_replaced(worker, now);
+}
+
+// The list would tell of a restart, which counts as told though it cannot be received.
+void OutcomeRecorder::process_replaced(WorkerIndex worker, Millis now) {
+  functions_.forget_instances(worker);
+  slow_start_.returned(worker, now);
+}
+
 void OutcomeRecorder::find_unanswered(Millis now) {
   for (auto& [serial, request] : requests_.all()) {
     if (request.done || request.streaming || !request.has_attempt_out()) continue;
--- a/src/policy/outcome_recorder.h
+++ b/src/policy/outcome_recorder.h
@@ -34,6 +34,9 @@
   void record_order(Function& function, WorkerIndex worker, const event::Loaded& order, Millis now);
   void record_probe(WorkerIndex worker, const event::Probed& probe, Millis now);
 
+  /// The worker has closed the last connection to it. While the list is not current this counts as a restart.
+  void record_connections_lost(WorkerIndex worker, Millis now);
+
   /// The worker answers: it runs, and warms up if it was down.
   void note_alive(WorkerIndex worker, Millis now);
 
@@ -56,6 +59,7 @@
   const RetryPolicy& retries_;
   ActionSink& actions_;
 
+  void process_replaced(WorkerIndex worker, Millis now);
   void take_back(Request& request, const Attempt& attempt, Instance& instance, Millis now);
   void learn(const Request& request, const Attempt& attempt, Instance& instance, const event::Answer& answer,
              Millis now);
--- a/tests/invoker/host_faults_test.cpp
+++ b/tests/invoker/host_faults_test.cpp
@@ -356,5 +356,34 @@
   CHECK(world.counters.value(core::Counter::hosts_probes) == 0);
 }
 
+// Found with the incident of 2026-12-02: a worker that was replaced while the membership log was out of reach
+// was used as if it were warm. All that the invoker can see of it is that the old process closed its
+// connections.
+TEST_CASE("a host that closes its last connection while the list is stale counts as a new process") {
+  core::Settings loading_by_order = settings();
+  loading_by_order.miss_is_answered = false;
+  World world(1, loading_by_order);
+  RecordingFront front;
+  const auto serve = [&](const char* ref) {
+    const std::size_t before = front.verdicts.size();
+    take_call(world, front, ref, Millis(1400));
+    REQUIRE(world.turn_until([&] { return front.verdicts.size() > before; }));
+    CHECK(front.verdicts.back() == core::Verdict::served);
+  };
+  const bool stale = GENERATE(true, false);
+  if (stale) {
+    world.fleet.list_lease(world.loop.now() - Millis(10000));
+    world.dispatcher.list_lease(world.loop.now() - Millis(10000));
+  }
+  serve("000000000000000a");
+  const int orders = world.host[0]->orders;
+  serve("000000000000000b");
+  CHECK(world.host[0]->orders == orders);
+  for (const auto& peer : world.host[0]->server.peers) peer->end_later();
+  REQUIRE(world.turn_until([&] { return world.counters.value(core::Counter::hosts_links_ended) > 0; }));
+  serve("000000000000000c");
+  CHECK(world.host[0]->orders == orders + (stale ? 1 : 0));  // its instances went with the process
+}
+
 }  // namespace
 }  // namespace pathstack::test
--- a/tests/policy/membership_lease_test.cpp
+++ b/tests/policy/membership_lease_test.cpp
@@ -145,6 +145,47 @@
   CHECK(invoker.loads[0].worker == invoker.probes[0]);
 }
 
+// Found with the incident: a worker that drained and was started anew while the log was out of reach got the
+// load of a warm one, though its start counts as told.
+TEST_CASE_METHOD(StaleListTest, "MembershipLease: a process that was replaced unheard warms up, and is empty",
+                 "[membership-lease]") {
+  invoker.list({entry("b", WorkerState::gone)}, ListKind::delta);
+  invoker.request("r2");
+  REQUIRE(invoker.probes.size() == 1);
+  SECTION("it was not well before") {
+    probed("a", Outcome::error);
+    invoker.pass(1100);
+    invoker.request("r3");
+    REQUIRE(invoker.probes.size() == 2);
+    probed("a", Outcome::ok);
+  }
+  SECTION("it had closed all connections") {
+    invoker.give(event::ConnectionsLost{"a"});
+    probed("a", Outcome::ok);
+  }
+  CHECK(invoker.sends.empty());  // the instance went with the process
+  for (int i = 4; i < 40; ++i) {
+    invoker.request("r" + std::to_string(i), static_cast<std::uint64_t>(i));
+    probed("a", Outcome::ok);
+  }
+  const auto work_sent = invoker.sends.size() + invoker.loads.size();
+  CHECK(work_sent <= 5);
+}
+
+TEST_CASE("MembershipLease: connections lost while the list is current change nothing",
+          "[membership-lease]") {
+  Invoker invoker(settings_with_probes());
+  invoker.list({entry("a")});
+  invoker.request("r1");
+  invoker.loaded("a", 1, 1);
+  invoker.pass(20);
+  REQUIRE(invoker.sends.size() == 1);
+  invoker.answer(invoker.sends[0], Outcome::ok, 20);
+  invoker.give(event::ConnectionsLost{"a"});
+  invoker.request("r2");
+  CHECK(invoker.sends.size() == 2);
+}
+
 TEST_CASE("MembershipLease: without probes only workers that accept work stay in use", "[membership-lease]") {
   Settings s = settings_with_probes();
   s.probes = false;
