Membership log: an object with a number alone is the number of the last event, no event

Cause: read_membership_line knew only a bare number; {"seq":N} was an event. That is a fault of its own and older than the lease: with N the next number, an event that had not come was counted as received, and never asked for. The stand-ins wrote bare numbers, so no test saw it. The test fails without the mend (9 checks).

--- a/src/config/membership_events.cpp
+++ b/src/config/membership_events.cpp
@@ -92,6 +92,7 @@
 void MembershipEventReader::take_event(const json& event) {
   MembershipEvent read = std::exchange(current_, MembershipEvent());
   if (key(event, "seq").is_number_unsigned()) read.seq = large(key(event, "seq"));
+  read.is_number = read.seq && event.size() == 1;
   const json& fleet = key(event, "fleet");
   read.has_members = event.contains("fleet");
   read.list.complete = flag(key(fleet, "complete"));
@@ -110,7 +111,12 @@
   MembershipLine out;
   if (rest.is_number_unsigned()) out.number = rest.get<std::uint64_t>();
   auto events = reader.take_events();
-  if (!rest.is_discarded() && events.size() == 1) out.event = std::move(events.front());
+  if (rest.is_discarded() || events.size() != 1) return out;
+  if (events.front().is_number) {
+    out.number = events.front().seq;
+  } else {
+    out.event = std::move(events.front());
+  }
   return out;
 }
 
--- a/src/config/membership_events.h
+++ b/src/config/membership_events.h
@@ -16,6 +16,7 @@
 struct MembershipEvent {
   std::optional<std::uint64_t> seq;  // none: it has no number
   bool has_members = false;          // false: another kind of event
+  bool is_number = false;            // it has nothing but its number: that of the last event
   bool malformed = false;            // a part of it cannot be read
   core::MemberList list;
 };
@@ -47,7 +48,8 @@
   void take_event(const nlohmann::json& event);
 };
 
-/// One line of the membership log. `number` holds a line that is a number alone.
+/// One line of the membership log. `number` holds a line that tells the number of the last event alone, as a
+/// number or as an object with nothing else.
 struct MembershipLine {
   std::optional<std::uint64_t> number;
   std::optional<MembershipEvent> event;  // neither: the line cannot be read
--- a/tests/invoker/parsers_test.cpp
+++ b/tests/invoker/parsers_test.cpp
@@ -165,6 +165,11 @@
   CHECK(log.read_line("4", list) == feed::EventSequence::Result::up_to_date);
   CHECK(log.read_line("3", list) == feed::EventSequence::Result::no_update);
   CHECK(log.read_line("6", list) == feed::EventSequence::Result::gap);
+  // The number may stand in an object of its own.
+  CHECK(log.read_line(R"({"seq":4})", list) == feed::EventSequence::Result::up_to_date);
+  CHECK(log.read_line(R"({"seq":3})", list) == feed::EventSequence::Result::no_update);
+  CHECK(log.read_line(R"({"seq":5})", list) == feed::EventSequence::Result::gap);
+  CHECK(log.last() == 4);
   CHECK(log.read_line(event(6), list) == feed::EventSequence::Result::gap);
   CHECK(log.read_line("{", list) == feed::EventSequence::Result::malformed);
   for (const char* bad :
