--- a/tests/soak/judge/broken_rule.h
+++ b/tests/soak/judge/broken_rule.h
@@ -12,6 +12,7 @@
   std::string rule;
   Millis at{0};
   std::string what;
+  bool depends_on_pace = false;  // a machine that is too busy could cause it as well
 };
 using BrokenRules = std::vector<BrokenRule>;
 
--- a/tests/soak/membership_log.h
+++ b/tests/soak/membership_log.h
@@ -41,6 +41,12 @@
   const std::string& address(int invoker) const;
   /// Adds an event, in force at once for everybody who is connected. The first one is the complete list.
   void append(std::vector<MemberRow> rows);
+  /// Tells invoker `invoker` the number of the last event alone, and no event, from now on or no more.
+  void tell_numbers_only(int invoker, bool only);
+  /// Writes each event twice, from now on or no more.
+  void repeat_events(bool twice) { writes_ = twice ? 2 : 1; }
+  /// Each second's number is written as an object, or as a number.
+  void write_numbers_as_objects(bool as_objects) { numbers_as_objects_ = as_objects; }
   /// The configuration's `known`, as invoker `invoker` is given it.
   nlohmann::json known(int invoker) const;
 
@@ -49,6 +55,7 @@
   struct Front {
     std::unique_ptr<Listener> listener;
     std::list<std::shared_ptr<Peer>> peers;
+    bool numbers_only = false;
   };
 
   net::Loop& loop_;
@@ -58,6 +65,8 @@
   AddressOf address_of_;
   std::vector<std::vector<MemberRow>> events_;
   std::map<int, Front> fronts_;
+  int writes_ = 1;  // of each event
+  bool numbers_as_objects_ = true;
   net::Loop::TimerId number_timer_;
 
   nlohmann::json event(std::size_t index, int invoker) const;
--- a/tests/soak/worker_host.cpp
+++ b/tests/soak/worker_host.cpp
@@ -52,6 +52,7 @@
       zone_(std::move(zone)),
       times_(times),
       random_(seed) {
+  ids_.insert(id_);
   for (int invoker = 0; invoker < invokers; ++invoker) {
     fronts_[invoker].listener = std::make_unique<Listener>(loop, [this, invoker](net::Socket socket) {
       fronts_[invoker].peers.push_back(std::make_shared<Peer>(*this, invoker, std::move(socket)));
@@ -61,6 +62,11 @@
 
 WorkerHost::~WorkerHost() = default;
 
+void WorkerHost::rename(const std::string& id) {
+  id_ = id;
+  ids_.insert(id);
+}
+
 void WorkerHost::stop() {
   stopped_ = true;
   ++process_;
@@ -127,6 +133,7 @@
   const int crowd = in_hand_[function];
   const bool turned_away = draining_ || fault_ == HostFault::full || crowd >= kMostInHand;
   if (turned_away) return finish(peer, place, "full", "crowd=" + std::to_string(crowd), {});
+  if (fault_ == HostFault::moot) return finish(peer, place, "moot", "-", {});
   if (fault_ == HostFault::failing) return finish(peer, place, "failed", "-", {});
 
   ++in_hand_[function];
--- a/tests/soak/worker_host.h
+++ b/tests/soak/worker_host.h
@@ -24,6 +24,7 @@
   none,
   full,        // turns all calls away
   failing,     // answers `failed` at once
+  moot,        // says that calls were over already
   slow,        // runs take ten times as long
   hanging,     // reads and answers nothing
   resetting,   // ends a connection under every fourth call
@@ -47,6 +48,10 @@
   WorkerHost& operator=(const WorkerHost&) = delete;
 
   const std::string& id() const { return id_; }
+  /// `id` is its own, or was before it was renamed.
+  bool has_been(const std::string& id) const { return ids_.count(id) != 0; }
+  /// The next process at this address has another id.
+  void rename(const std::string& id);
   const std::string& zone() const { return zone_; }
   std::string address(int invoker) const { return fronts_.at(invoker).listener->address(); }
 
@@ -70,6 +75,7 @@
   Record& record_;
   std::function<Millis()> clock_;
   std::string id_, zone_;
+  std::set<std::string> ids_;  // all so far
   HostTimes times_;
   std::mt19937_64 random_;
   std::map<int, Front> fronts_;
