--- a/src/feed/list_lease.h
+++ b/src/feed/list_lease.h
@@ -10,15 +10,16 @@
 /// The time from which on changes of the list that were not received may count as told.
 ///
 /// The platform counts a change as told once it is in the membership log, whether this invoker is connected
-/// or not. It allows for outages: after a break 2 s from the break, after a stop or a move of the log 4 s,
-/// but no longer than until the invoker asks again. A stop cannot be seen; it may have begun right behind the
-/// last line. So each line that shows that nothing is missing renews the lease, and nothing else does.
+/// or not. It allows for outages: after a stop or a move of the log 4 s, but no longer than until the invoker
+/// asks again. A stop cannot be seen; it may have begun right behind the last line. So each line that shows
+/// that nothing is missing renews the lease, and nothing else does. A break ends it at once, though the
+/// platform allows 2 s: an event that was told and lost on its way may count from when it was written.
 /// Knows no clock; every call is O(1).
 class ListLease {
  public:
   /// The platform's clocks.
-  static constexpr core::Millis kAfterBreak{2000}, kAfterStop{4000}, kAfterMove{4000};
-  /// Allowance for the way of a line or a break to this invoker, by which it is older than its arrival.
+  static constexpr core::Millis kAfterStop{4000}, kAfterMove{4000};
+  /// Allowance for the way of a line or a signal to this invoker, by which it is older than its arrival.
   static constexpr core::Millis kTransit{250};
 
   /// Before the first line nothing says how old the list of the configuration is.
@@ -42,7 +43,7 @@
   }
   /// The log has events that this invoker does not have.
   void fell_behind(core::Millis now) { asked(now); }
-  void connection_broke(core::Millis now) { shorten(now + kAfterBreak - kTransit); }
+  void connection_broke(core::Millis now) { shorten(now); }
   void log_moved(core::Millis now) { shorten(now + kAfterMove - kTransit); }
 
  private:
