--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -143,6 +143,8 @@
   CHECK(judge(record).empty());
   record.lives[0].killed = Millis(4990);
   CHECK(judge(record).empty());  // it was sent to a process that was dead already
+  record.lives[0].ended = Millis(4995);
+  CHECK(judge(record).empty());  // and whose end was known a moment before that of the connection
   record.lives[0].killed = record.lives[0].ended = Millis(4000);
   names_only(check_answers(record), "answer");
 }
