--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -4,6 +4,11 @@
 #include <cstdio>
 
 namespace pathstack::core {
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+
+}  // namespace
 
 const char* log_name(Outcome outcome) {
   switch (outcome) {
@@ -29,7 +34,6 @@
       filled_at_(clock_()) {}
 
 bool EventLog::take_token(Millis now) {
-  constexpr double kMillisPerSecond = 1000;
   const double elapsed = (now - filled_at_).count();
   filled_at_ = now;
   tokens_ = std::min(kBurst, tokens_ + elapsed * kLinesPerSecond / kMillisPerSecond);
@@ -55,7 +59,6 @@
 }
 
 void EventLog::write(std::string_view name, const std::string& fields) {
-  constexpr double kMillisPerSecond = 1000;
   const Millis now = clock_();
   if (!take_token(now)) return counters_.add(Counter::log_events_suppressed);
   char time[32];
--- a/src/hosts/connection_pool.cpp
+++ b/src/hosts/connection_pool.cpp
@@ -9,6 +9,13 @@
 using core::Outcome;
 using core::WorkerState;
 
+namespace {
+
+// Of the drain grace: how long a call or load order may wait for its connection while the list is stale.
+constexpr double kLongestWaitShare = 0.2;
+
+}  // namespace
+
 ConnectionPool::ConnectionPool(net::Loop& loop, net::BufferPool& pool, core::Counters& counters,
                                Limits limits)
     : loop_(loop), pool_(pool), counters_(counters), limits_(std::move(limits)) {
@@ -211,7 +218,6 @@
 // The module decides by leases that end within the grace; what waits much longer may leave after a drain that
 // counts as told.
 bool ConnectionPool::may_still_write(Millis added_at) {
-  constexpr double kLongestWaitShare = 0.2;  // of the drain grace
   const Millis now = loop_.now();
   if (now <= list_current_until_) return true;
   if (now - added_at <= limits_.drain_grace * kLongestWaitShare) return true;
