Soak: outages of the log in fleets whose settings allow no probes, failing first

Reproduction for the known failure outage-without-probes, before any change of code.

The fault is wider: it needs no worker that hangs. Four schedules, of 10 and of 60 s: workers are well, two of them drain, nothing else is wrong.

A rule of the judge asks for a share, where a schedule names one, and for the same share from 0.5 s after the log's return on; its test feeds it records with refusals before, in, behind and long after an outage.

--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -44,6 +44,7 @@
            }),
       log_proxies_(static_cast<std::size_t>(deployment.invokers)) {
   log_.write_numbers_as_objects(deployment.numbers_as_objects);
+  log_.write_number_after_question(deployment.number_after_question);
   std::vector<MemberRow> rows;
   for (int i = 0; i < deployment.hosts; ++i) {
     hosts_.push_back(std::make_unique<WorkerHost>(loop, pool, record, clock_, "s-" + std::to_string(i),
@@ -90,7 +91,7 @@
   });
 }
 
-void Fleet::move_log(int invoker, Millis late) {
+void Fleet::move_log(int invoker, Millis late, bool mute) {
   constexpr Millis kOldCloses{1500};
   LogAccess& access = log_proxies_[static_cast<std::size_t>(invoker)];
   const Millis now = clock_();
@@ -104,7 +105,7 @@
   old->set_mode(FaultProxy::Mode::silent);
   after(kOldCloses, [old] { old->set_mode(FaultProxy::Mode::refuse); });
   if (late.count() <= 0) return;
-  current->set_mode(FaultProxy::Mode::refuse);
+  current->set_mode(mute ? FaultProxy::Mode::silent : FaultProxy::Mode::refuse);
   after(late, [current] { current->set_mode(FaultProxy::Mode::pass); });
 }
 
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -37,9 +37,9 @@
   void apply(const CrashFault& fault);
   void apply(const HostFaultSpan& fault);
 
-  /// The log goes on at a new address for the invoker, which refuses for `late`. The old one tells nothing
-  /// further, takes no new connection and closes its own 1.5 s later. The caller sends SIGHUP.
-  void move_log(int invoker, Millis late);
+  /// The log goes on at a new address for the invoker, which refuses for `late`, or is mute. The old one
+  /// tells nothing further, takes no new connection and closes its own 1.5 s later. The caller sends SIGHUP.
+  void move_log(int invoker, Millis late, bool mute);
 
  private:
   struct LogAccess {
--- a/tests/soak/invoker_slot.cpp
+++ b/tests/soak/invoker_slot.cpp
@@ -159,7 +159,7 @@
   if (!settled || life().terminated) return;
   if (fault.what == What::kill) return kill_now();
   if (fault.what == What::move) {
-    fleet_.move_log(index_, fault.new_log_late);
+    fleet_.move_log(index_, fault.new_log_late, fault.new_log_mute);
     write_config();
   }
   if (fault.what == What::reload) write_config();
--- a/tests/soak/judge/judge.cpp
+++ b/tests/soak/judge/judge.cpp
@@ -6,6 +6,7 @@
 #include "judge/attempt_rule.h"
 #include "judge/drain_rule.h"
 #include "judge/load_budget_rule.h"
+#include "judge/outage_service_rule.h"
 #include "judge/process_rule.h"
 #include "judge/resource_rule.h"
 #include "judge/service_rule.h"
@@ -13,9 +14,9 @@
 namespace pathstack::soak {
 
 BrokenRules judge(const Record& record) {
-  constexpr BrokenRules (*kRules[])(const Record&) = {check_drains,      check_answers,   check_attempts,
-                                                      check_load_budget, check_processes, check_resources,
-                                                      check_service};
+  constexpr BrokenRules (*kRules[])(const Record&) = {check_drains,      check_answers,       check_attempts,
+                                                      check_load_budget, check_processes,     check_resources,
+                                                      check_service,     check_outage_service};
   BrokenRules all;
   for (const auto rule : kRules) {
     const BrokenRules broken = rule(record);
--- /dev/null
+++ b/tests/soak/judge/outage_service_rule.cpp
@@ -0,0 +1,67 @@
+#include "judge/outage_service_rule.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <functional>
+
+namespace pathstack::soak {
+namespace {
+
+// The span of an outage, or behind it, whose calls count.
+struct Span {
+  Millis from{0}, to{0};
+};
+using SpanOf = std::function<Span(const LogOutage&)>;
+
+std::optional<double> share_served(const Record& record, const SpanOf& span_of) {
+  std::size_t calls = 0, served = 0;
+  for (const Call& call : record.calls) {
+    const bool counts =
+        std::any_of(record.outages.begin(), record.outages.end(), [&](const LogOutage& outage) {
+          const Span span = span_of(outage);
+          return outage.invoker == call.invoker && span.from <= call.sent && call.sent < span.to;
+        });
+    if (!counts || call.left) continue;
+    ++calls;
+    served += !call.answers.empty() && call.answers[0].word == "OK" ? 1 : 0;
+  }
+  if (calls == 0) return std::nullopt;
+  return static_cast<double>(served) / static_cast<double>(calls);
+}
+
+void check_share(std::optional<double> share, double least, Millis at, const char* when,
+                 BrokenRules& broken) {
+  if (share.value_or(0) >= least) return;
+  char what[96];
+  std::snprintf(what, sizeof what, "%.3f of the calls sent %s was served, %.2f is asked for",
+                share.value_or(0), when, least);
+  broken.push_back({"outage service", at, what, true});
+}
+
+}  // namespace
+
+std::optional<double> share_served_in_outages(const Record& record) {
+  const Millis counted_from = record.rules.outage.counted_from;
+  return share_served(record, [&](const LogOutage& outage) {
+    return Span{outage.from + counted_from, outage.to};
+  });
+}
+
+std::optional<double> share_served_after_outages(const Record& record) {
+  const Millis restart = record.rules.outage.restart_within;
+  return share_served(record, [&](const LogOutage& outage) {
+    return Span{outage.to + restart, outage.to + restart + Millis(1000)};
+  });
+}
+
+BrokenRules check_outage_service(const Record& record) {
+  BrokenRules broken;
+  const double least = record.rules.outage.least_share;
+  if (least <= 0 || record.outages.empty()) return broken;
+  const LogOutage& first = record.outages.front();
+  check_share(share_served_in_outages(record), least, first.from, "in an outage", broken);
+  check_share(share_served_after_outages(record), least, first.to, "after an outage", broken);
+  return broken;
+}
+
+}  // namespace pathstack::soak
--- a/tests/soak/judge_test.cpp
+++ b/tests/soak/judge_test.cpp
@@ -7,6 +7,7 @@
 #include "judge/attempt_rule.h"
 #include "judge/drain_rule.h"
 #include "judge/load_budget_rule.h"
+#include "judge/outage_service_rule.h"
 #include "judge/process_rule.h"
 #include "judge/resource_rule.h"
 #include "judge/service_rule.h"
@@ -242,4 +243,28 @@
   CHECK(check_drains(record).empty());
 }
 
+TEST_CASE("calls refused while the log is out of reach, or after its return, break the rule on service") {
+  Record record;
+  record.length = Millis(30000);
+  record.rules.outage.least_share = 0.9;
+  record.outages = {{0, LogFault::silent, Millis(2000), Millis(12000)}};
+  const auto refused_from = GENERATE(Millis(0), Millis(7000), Millis(12000), Millis(12600), Millis(20000));
+  for (Millis at(0); at < Millis(25000); at += Millis(50)) {
+    Call call;
+    call.sent = at;
+    const bool refused = at >= refused_from && at < refused_from + Millis(500);
+    call.answers.push_back({at + Millis(50), refused ? "BUSY" : "OK", ""});
+    record.calls.push_back(call);
+  }
+  const BrokenRules broken = check_outage_service(record);
+  // Before the outage counts, in it (0.909 still served), within the time to restart, past it, long after.
+  const bool is_break = refused_from == Millis(12600);
+  CHECK(broken.empty() == !is_break);
+  if (is_break) names_only(broken, "outage service");
+  const double in_outage = refused_from == Millis(7000) ? 100.0 / 110 : 1;
+  CHECK(share_served_in_outages(record).value() == Approx(in_outage));
+  record.rules.outage.least_share = 0.95;
+  CHECK(check_outage_service(record).empty() == (!is_break && refused_from != Millis(7000)));
+}
+
 }  // namespace pathstack::soak
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -13,6 +13,7 @@
 #include <regex>
 
 #include "judge/judge.h"
+#include "judge/outage_service_rule.h"
 #include "judge/service_rule.h"
 #include "run.h"
 #include "schedule.h"
@@ -45,6 +46,7 @@
   std::size_t calls = 0, served = 0;
   int worst_second = 100;  // lowest share served of a second with calls enough, in percent
   Millis longest_stall{0};
+  std::optional<double> share_in_outages, share_after_outages;  // served
   BrokenRules broken;
   std::string error;  // the schedule could not be played
 };
@@ -89,6 +91,8 @@
   for (const Stall& stall : record.stalls) {
     result.longest_stall = std::max(result.longest_stall, stall.to - stall.from);
   }
+  result.share_in_outages = share_served_in_outages(record);
+  result.share_after_outages = share_served_after_outages(record);
   result.broken = judge(record);
   return result;
 }
@@ -115,6 +119,10 @@
       "%zu%s%s\n",
       result.name.c_str(), result.calls, share, result.worst_second, result.longest_stall.count(),
       result.broken.size(), result.error.empty() ? "" : "  ERROR ", result.error.c_str());
+  if (result.share_in_outages) {
+    std::printf("    served in outages, from 4.5 s on: %.3f; in the second from 0.5 s after them on: %.3f\n",
+                *result.share_in_outages, result.share_after_outages.value_or(0));
+  }
   std::map<std::string, std::size_t> by_rule;
   for (const BrokenRule& broken : result.broken) ++by_rule[broken.rule];
   for (const auto& [rule, count] : by_rule) std::printf("    rule %s: %zu\n", rule.c_str(), count);
@@ -135,6 +143,8 @@
           {"served", result.served},
           {"worst_second_percent", result.worst_second},
           {"longest_stall_ms", result.longest_stall.count()},
+          {"share_in_outages", result.share_in_outages.value_or(-1)},
+          {"share_after_outages", result.share_after_outages.value_or(-1)},
           {"broken", broken},
           {"error", result.error}};
 }
--- a/tests/soak/membership_log.cpp
+++ b/tests/soak/membership_log.cpp
@@ -112,13 +112,18 @@
   record_.asks.push_back({invoker, clock_()});
   if (fronts_.at(invoker).numbers_only) return;
   for (std::size_t i = since; i < events_.size(); ++i) peer.write(event(i, invoker).dump() + "\n");
+  if (number_after_question_) peer.write(number_line());
 }
 
 void MembershipLog::peer_ended(Peer& peer, int invoker) { release(fronts_.at(invoker).peers, peer, loop_); }
 
-void MembershipLog::send_numbers() {
+std::string MembershipLog::number_line() const {
   const std::string number = std::to_string(events_.size());
-  const std::string line = numbers_as_objects_ ? "{\"seq\":" + number + "}\n" : number + "\n";
+  return numbers_as_objects_ ? "{\"seq\":" + number + "}\n" : number + "\n";
+}
+
+void MembershipLog::send_numbers() {
+  const std::string line = number_line();
   for (auto& [invoker, front] : fronts_) {
     for (const auto& peer : front.peers) {
       if (peer->asked()) peer->write(line);
--- a/tests/soak/membership_log.h
+++ b/tests/soak/membership_log.h
@@ -47,6 +47,8 @@
   void repeat_events(bool twice) { writes_ = twice ? 2 : 1; }
   /// Each second's number is written as an object, or as a number.
   void write_numbers_as_objects(bool as_objects) { numbers_as_objects_ = as_objects; }
+  /// Who asks is told the last number at once, behind the events, as the platform's log does.
+  void write_number_after_question(bool at_once) { number_after_question_ = at_once; }
   /// The configuration's `known`, as invoker `invoker` is given it.
   nlohmann::json known(int invoker) const;
 
@@ -67,12 +69,14 @@
   std::map<int, Front> fronts_;
   int writes_ = 1;  // of each event
   bool numbers_as_objects_ = true;
+  bool number_after_question_ = false;
   net::Loop::TimerId number_timer_;
 
   nlohmann::json event(std::size_t index, int invoker) const;
   void answer(Peer& peer, int invoker, std::uint64_t since);
   void peer_ended(Peer& peer, int invoker);
   void send_numbers();
+  std::string number_line() const;
 };
 
 }  // namespace pathstack::soak
--- a/tests/soak/record.h
+++ b/tests/soak/record.h
@@ -17,6 +17,13 @@
 enum class MemberState { ready, draining, gone };
 
 /// The limits of the platform's rules in one run.
+/// What a run asks of service while the membership log is out of reach.
+struct OutageService {
+  double least_share = 0;      // of calls served, in the outage and after it; 0: nothing is asked
+  Millis counted_from{4500};   // into the outage: by then all that it keeps back counts as told at once
+  Millis restart_within{500};  // of the log's return
+};
+
 struct RuleSettings {
   Millis drain_grace{250};
   Millis slack{50};  // the page on sockets lengthens each time limit by so much
@@ -26,6 +33,7 @@
   Millis load_window{5000};
   double memory_mb = 128;
   std::size_t descriptors = 512;
+  OutageService outage;
 };
 
 /// An event of the membership log, at the time at which it is in the log.
--- a/tests/soak/schedule.cpp
+++ b/tests/soak/schedule.cpp
@@ -225,6 +225,60 @@
   return schedule;
 }
 
+// Outages where the settings allow no probes, with nothing else wrong but two workers that drain. What users
+// saw: most calls refused from 4 s into the outage on, the more the more invokers and workers share the same
+// calls. Cause: a worker heard from one invoker less often than the lease on it lasts, and once the last
+// lease had ended nothing lawful was left to begin again. Evidence: `now.withheld` rises to the number of
+// workers.
+Schedule outage_of_fleet(const std::string& name, int invokers, int hosts, double calls_per_second,
+                         double least_share) {
+  Schedule schedule;
+  schedule.name = name;
+  schedule.seed = 22;
+  schedule.deployment.invokers = invokers;
+  schedule.deployment.hosts = hosts;
+  schedule.deployment.calls_per_second = calls_per_second;
+  schedule.deployment.probes = false;
+  schedule.deployment.number_after_question = true;
+  schedule.deployment.least_share_in_outage = least_share;
+  return schedule;
+}
+
+void add_outage(Schedule& schedule, const LogOutageFault& outage, Millis drains_after) {
+  constexpr Millis kOutageAt{3000}, kAfterwards{3000};
+  schedule.length = kOutageAt + outage.length + kAfterwards;
+  if (outage.fault != LogFault::moved) schedule.faults.push_back({kOutageAt, outage});
+  for (int i = 0; outage.fault == LogFault::moved && i < schedule.deployment.invokers; ++i) {
+    const SignalFault move{i, SignalFault::What::move, 1, outage.length, true};
+    schedule.faults.push_back({kOutageAt, move});
+  }
+  for (int host = 0; host < 2; ++host) {
+    DrainFault drain;
+    drain.host = host;
+    drain.gone_after = outage.length + Millis(1000);
+    drain.back_after = Millis(600);
+    schedule.faults.push_back({kOutageAt + drains_after, drain});
+  }
+}
+
+std::vector<Schedule> outages_of_fleets() {
+  std::vector<Schedule> schedules;
+  for (const int seconds : {10, 60}) {
+    const Millis length(seconds * 1000.0);
+    const std::string suffix = "-" + std::to_string(seconds) + "s";
+    Schedule few = outage_of_fleet("no-probes-few-invokers" + suffix, 3, 11, 60, 0.95);
+    add_outage(few, {-1, LogFault::silent, length}, Millis(600));
+    Schedule moved = outage_of_fleet("no-probes-moved-log" + suffix, 6, 20, 30, 0.9);
+    add_outage(moved, {-1, LogFault::moved, length}, Millis(5000));
+    Schedule ten = outage_of_fleet("no-probes-ten-invokers" + suffix, 10, 10, 30, 0.9);
+    add_outage(ten, {-1, LogFault::silent, length}, Millis(600));
+    Schedule many = outage_of_fleet("no-probes-many-invokers" + suffix, 30, 30, 10, 0.8);
+    add_outage(many, {-1, LogFault::refused, length}, Millis(6000));
+    for (Schedule& each : std::vector<Schedule>{few, moved, ten, many}) schedules.push_back(std::move(each));
+  }
+  return schedules;
+}
+
 const char* name_of(LogFault fault) {
   switch (fault) {
     case LogFault::refused: return "refuses";
@@ -299,7 +353,7 @@
   }
   void operator()(const SignalFault& f) const {
     out_ << "invoker " << f.invoker << ": " << name_of(f.what) << " x " << f.times << ", new log late by "
-         << f.new_log_late.count() << " ms";
+         << f.new_log_late.count() << " ms" << (f.new_log_mute ? ", mute" : "");
   }
   void operator()(const ClientFault& f) const {
     out_ << "invoker " << f.invoker << ": " << f.count << ' ' << name_of(f.what);
@@ -315,9 +369,12 @@
 };
 
 std::vector<Schedule> all_named() {
-  return {membership_outage("membership-outage-silent", LogFault::silent),
-          membership_outage("membership-outage-refused", LogFault::refused),
-          membership_outage("membership-outage-cut", LogFault::cut), outage_without_probes()};
+  std::vector<Schedule> all{membership_outage("membership-outage-silent", LogFault::silent),
+                            membership_outage("membership-outage-refused", LogFault::refused),
+                            membership_outage("membership-outage-cut", LogFault::cut),
+                            outage_without_probes()};
+  for (Schedule& schedule : outages_of_fleets()) all.push_back(std::move(schedule));
+  return all;
 }
 
 }  // namespace
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -28,9 +28,11 @@
   Millis allowed_repeatable{1200}, allowed_once{1500};
   int send_cap = 4;
   bool probes = true, orders = true;
-  bool numbers_as_objects = true;  // the log writes {"seq":N}, else N
+  bool numbers_as_objects = true;      // the log writes {"seq":N}, else N
+  bool number_after_question = false;  // the log writes its number at once to who asks, too
   int descriptors = 512, memory_mb = 128;
   HostTimes times;
+  double least_share_in_outage = 0;  // of calls served; 0: nothing is asked
 };
 
 /// The log is out of reach of one invoker, or of all.
@@ -83,8 +85,9 @@
   };
   int invoker = 0;
   What what = What::counters;
-  int times = 1;           // in a row
-  Millis new_log_late{0};  // of `move`: how long the new address refuses
+  int times = 1;              // in a row
+  Millis new_log_late{0};     // of `move`: how long the new address refuses
+  bool new_log_mute = false;  // it accepts meanwhile, and is silent
 };
 struct ClientFault {
   enum class What { crowd, burst, cancels, leaves, bad_bytes, pieces };
