Outages without probes: keep a few workers, and renew their leases by load orders

Cause: a lease on a worker lasts 200 ms from when something that it accepted was sent. Calls were spread over all workers, so one invoker reached each less often than that, and a worker whose lease has ended cannot be asked. Evidence: `now.withheld` rises to the number of workers, `shed.unhealthy` counts all refusals; no drain was missed.

Change: LeaseRenewal keeps as many workers as the calls confirm (two requests a lease), sends new work to these alone, and renews a lease that no answer renews in time by an order to load what stands there, which the worker answers at once, within the load budget. Where that runs short at a single kept worker, the last queued calls are delayed a little, so that they come when the lease needs them. A worker that turned something away is doubted, not lost, until an order tells full from draining. A worker that accepts something after a break of the log may be used for 2 s behind it, as later changes count as told then. Pauses between connections to the log end at 400 ms (500): service is to be back within 0.5 s of the log.

The observer of the list's lease takes the lease, not a time: one line of list_lease_test.cpp follows, its checks unchanged.

--- a/include/pathstack/policy.h
+++ b/include/pathstack/policy.h
@@ -103,6 +103,7 @@
 /// then. From that time on changes that were not received may count as told. May also be before the last one.
 struct ListLease {
   Millis until{0};
+  Millis later_changes_from{0};  // no change that was made after `until` counts as told before this
 };
 /// Never comes over the simulator's wire: the worker has closed the last connection to it. Its process may
 /// have ended, and another one may run.
--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -71,10 +71,11 @@
 }
 
 // The hosts first: the module may send at once.
-void Invoker::update_list_lease(Millis until) {
+void Invoker::update_list_lease(const feed::ListLease& lease) {
+  const Millis until = lease.until();
   list_current_until_ = until;
   fleet_.list_lease(until);
-  dispatcher_.list_lease(until);
+  dispatcher_.list_lease(until, lease.later_changes_from());
 }
 
 void Invoker::log_list_state() {
@@ -111,7 +112,7 @@
     membership_client_.emplace(loop_, pool_, counters_, config_.changelog, known, on_update,
                                memory_quarter(config_), config_.seed);
     membership_client_->log_to(events_);
-    membership_client_->observe_lease([this](Millis until) { update_list_lease(until); });
+    membership_client_->observe_lease([this](const feed::ListLease& lease) { update_list_lease(lease); });
     membership_client_->start();
     return;
   }
--- a/src/app/invoker.h
+++ b/src/app/invoker.h
@@ -68,7 +68,7 @@
   /// True if the program is to end.
   bool serve_signals();
   void start_triggers();
-  void update_list_lease(core::Millis until);
+  void update_list_lease(const feed::ListLease& lease);
   /// Logs that the list of hosts has become stale, or is current again.
   void log_list_state();
   void update_members(const core::MemberList& list, core::ListKind kind);
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -140,7 +140,9 @@
   apply_steps(module_.report(clock_(), HostConnectionsLost{host}));
 }
 
-void Dispatcher::list_lease(Millis until) { apply_steps(module_.report(clock_(), ListLease{until})); }
+void Dispatcher::list_lease(Millis until, Millis later_changes_from) {
+  apply_steps(module_.report(clock_(), ListLease{until, later_changes_from}));
+}
 
 bool Dispatcher::take_load_budget() {
   if (load_budget_.take(clock_())) return true;
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -58,8 +58,9 @@
   void members(HostList&& list);
   /// A host has closed the last connection to it.
   void connections_lost(const std::string& host);
-  /// The list of hosts may be relied on until then. The hosts must know of it before.
-  void list_lease(Millis until);
+  /// The list of hosts may be relied on until then; changes after that count as told from
+  /// `later_changes_from` on. The hosts must know of it before.
+  void list_lease(Millis until, Millis later_changes_from = Millis(0));
   /// Asked when a load order is about to be written; false, and counted, if the load budget is spent.
   bool take_load_budget();
 
--- a/src/core/module.cpp
+++ b/src/core/module.cpp
@@ -30,7 +30,9 @@
 }
 pathstack::policy::Event event_of(const CallLeft& o) { return event::Left{std::to_string(o.call)}; }
 pathstack::policy::Event event_of(const HostConnectionsLost& o) { return event::ConnectionsLost{o.host}; }
-pathstack::policy::Event event_of(const ListLease& o) { return event::ListLease{o.until}; }
+pathstack::policy::Event event_of(const ListLease& o) {
+  return event::ListLease{o.until, o.later_changes_from};
+}
 pathstack::policy::Event event_of(const HostList& o) { return event::List{o.kind, o.entries}; }
 
 CallId call_id_of(const std::string& id) { return std::stoull(id); }  // ids are ours: see pick
--- a/src/core/module.h
+++ b/src/core/module.h
@@ -92,6 +92,7 @@
 /// Changes of the list of hosts that were not received may count as told from `until` on.
 struct ListLease {
   Millis until{0};
+  Millis later_changes_from{0};  // those written after `until` do not before this
 };
 /// A host has closed the last connection to it.
 struct HostConnectionsLost {
--- a/src/feed/membership_client.cpp
+++ b/src/feed/membership_client.cpp
@@ -32,7 +32,7 @@
 }
 
 void MembershipClient::report_lease() {
-  if (on_lease_) on_lease_(lease_.until());
+  if (on_lease_) on_lease_(lease_);
 }
 
 void MembershipClient::connect() {
--- a/src/feed/membership_client.h
+++ b/src/feed/membership_client.h
@@ -30,8 +30,8 @@
   /// Receives the hosts of one event: all of them if `complete`, else those that have changed.
   using OnUpdate = std::function<void(const core::MemberList&)>;
 
-  /// Receives the time until which the list may be relied on (`ListLease`), each time that it changes.
-  using OnLease = std::function<void(core::Millis until)>;
+  /// Receives how long the list may be relied on, each time that it may have changed.
+  using OnLease = std::function<void(const ListLease&)>;
 
   /// `known`: the events that are known already. A line of more than `max_event_bytes` ends the connection; a
   /// complete list of hosts is one line. `seed` is that of the backoff's jitter.
--- a/src/feed/timeouts.h
+++ b/src/feed/timeouts.h
@@ -10,7 +10,7 @@
   /// For a connection to be made.
   core::Millis connect{500};
   /// The ceiling of the pause between connections: the first one, and the bound of its growth.
-  core::Millis backoff_first{50}, backoff_most{500};
+  core::Millis backoff_first{50}, backoff_most{400};  // calls may have waited for the log's return
   /// For any byte on a connection. The log writes a line every second; its updates count as received 4 s
   /// after it has stopped.
   core::Millis silence_first{1600}, silence_most{3000};
--- a/src/hosts/connection_pool.cpp
+++ b/src/hosts/connection_pool.cpp
@@ -4,18 +4,13 @@
 #include <set>
 #include <utility>
 
+#include "policy/drain_grace.h"
+
 namespace pathstack::hosts {
 
 using core::Outcome;
 using core::WorkerState;
 
-namespace {
-
-// Of the drain grace: how long a call or load order may wait for its connection while the list is stale.
-constexpr double kLongestWaitShare = 0.2;
-
-}  // namespace
-
 ConnectionPool::ConnectionPool(net::Loop& loop, net::BufferPool& pool, core::Counters& counters,
                                Limits limits)
     : loop_(loop), pool_(pool), counters_(counters), limits_(std::move(limits)) {
@@ -220,7 +215,8 @@
 bool ConnectionPool::may_still_write(Millis added_at) {
   const Millis now = loop_.now();
   if (now <= list_current_until_) return true;
-  if (now - added_at <= limits_.drain_grace * kLongestWaitShare) return true;
+  const Millis longest = pathstack::policy::longest_connection_wait(limits_.drain_grace, limits_.probes);
+  if (now - added_at <= longest) return true;
   counters_.add(core::Counter::guard_waited_too_long);
   return false;
 }
--- a/src/policy/engine.cpp
+++ b/src/policy/engine.cpp
@@ -31,13 +31,14 @@
       limits_(settings_, workers_, reports_, random_),
       placement_(settings_, workers_, times_, reports_),
       order_budget_(settings_),
+      renewal_(settings_, workers_, lease_, functions_, times_, outliers_, order_budget_, actions),
       admission_(settings_, requests_, times_, limits_),
       retries_(settings_, workers_, requests_, times_, outliers_, slow_start_, limits_, admission_, random_,
                actions),
       selector_(settings_, functions_, times_, outliers_, slow_start_, limits_, admission_, retries_,
                 placement_),
-      scheduler_(settings_, workers_, lease_, functions_, requests_, times_, slow_start_, admission_,
-                 retries_, selector_, order_budget_, actions),
+      scheduler_(settings_, workers_, lease_, renewal_, functions_, requests_, times_, slow_start_,
+                 admission_, retries_, selector_, order_budget_, actions),
       shedder_(functions_, requests_, times_, outliers_, limits_, admission_, retries_),
       outcomes_(settings_, workers_, lease_, functions_, requests_, times_, outliers_, slow_start_, reports_,
                 limits_, order_budget_, retries_, actions) {
@@ -56,7 +57,8 @@
 
 void Engine::on(const event::ListLease& lease, Millis now) {
   const bool was_current = lease_.is_list_current(now);
-  lease_.set_list_current_until(lease.until);
+  lease_.set_list_lease(lease);
+  renewal_.update(now);
   if (!was_current && lease_.is_list_current(now)) scheduler_.consider_all(now);
 }
 
@@ -78,6 +80,7 @@
 
 void Engine::reset(WorkerIndex worker) {
   lease_.reset(worker);
+  renewal_.reset(worker);
   outliers_.reset(worker);
   slow_start_.reset(worker);
   reports_.reset(worker);
@@ -96,9 +99,11 @@
   if (requests_.contains(event.id)) return;
   order_budget_.request_arrived(now);
   reports_.request_arrived(now);
+  renewal_.request_arrived(now);
   const int class_index = class_index_of(event.class_name);
   Function& function = functions_.request_arrived(event, class_index, now);
   Request& request = requests_.create(event.id, class_index, function);
+  request.arrived_at = now;
   request.deadline = now + event.expires_in;
   request.objective_at = retries_.objective_at(class_index, event.expires_in, now);
   const Millis last_moment = request.deadline - settings_.tick - now;
@@ -116,6 +121,7 @@
   Function& function = *request->function;
   const WorkerIndex worker = attempt->worker;
   outcomes_.record_attempt(*request, *attempt, answer, now);
+  renewal_.update(now);
   if (answer.over || request->done) {
     requests_.finish(*request);
   } else if (!request->has_attempt_out() && !request->streaming) {
@@ -147,6 +153,7 @@
   const Worker* worker = workers_.find(order.worker);
   if (function == nullptr || worker == nullptr) return;
   outcomes_.record_order(*function, worker->index, order, now);
+  renewal_.order_ended(worker->index, order, now);
   scheduler_.consider(*function, now);
 }
 
@@ -177,6 +184,10 @@
 
 void Engine::on(const event::Timer& timer, Millis now) {
   if (timer.token == kSweepTimer) return sweep(now);
+  if (timer.token == kRenewalTimer) {
+    renewal_.update(now);
+    return scheduler_.consider_all(now);
+  }
   Request* request = requests_.find(timer.token);
   if (request == nullptr || request->done || request->streaming) return;
   if (now + 2 * settings_.tick >= request->deadline) retries_.give_up(*request, now);
@@ -192,6 +203,7 @@
   outcomes_.find_unanswered(now);
   outliers_.repeat_probes(now);
   reports_.exchange(now);
+  renewal_.update(now);
   scheduler_.consider_all(now);
   for (const auto& function : functions_.all()) shedder_.shed(*function, now);
   prune(now);
@@ -210,8 +222,10 @@
     counters["gave_up_after_attempt"] = retries_.given_up_after_attempt();
   }
   counters["lease.asked"] = static_cast<double>(lease_.asked());
+  counters["lease.renewed"] = static_cast<double>(renewal_.orders_sent());
   counters["lease.not_well"] = static_cast<double>(lease_.denied());
   counters["now.list_stale"] = lease_.is_list_current(now) ? 0 : 1;
+  counters["now.kept"] = static_cast<double>(renewal_.kept());
   counters["now.withheld"] = static_cast<double>(lease_.withheld(now));
   for (std::size_t i = 0; i < kShedReasons; ++i) {
     const auto reason = static_cast<ShedReason>(i);
--- a/src/policy/engine.h
+++ b/src/policy/engine.h
@@ -9,6 +9,7 @@
 #include "policy/common.h"
 #include "policy/concurrency_limit.h"
 #include "policy/function_table.h"
+#include "policy/lease_renewal.h"
 #include "policy/load_order_budget.h"
 #include "policy/load_reports.h"
 #include "policy/load_shedder.h"
@@ -70,6 +71,7 @@
   ConcurrencyLimit limits_;
   Placement placement_;
   LoadOrderBudget order_budget_;
+  LeaseRenewal renewal_;
   Admission admission_;
   RetryPolicy retries_;
   WorkerSelector selector_;
--- a/src/policy/load_order_budget.cpp
+++ b/src/policy/load_order_budget.cpp
@@ -1,6 +1,7 @@
 #include "policy/load_order_budget.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace pathstack::policy {
 
@@ -10,12 +11,15 @@
   forget_requests(now);
 }
 
-bool LoadOrderBudget::allows_order(Millis now) {
-  if (!is_limited()) return true;
-  while (!orders_.empty() && now - orders_.front() > settings_.load_window) orders_.pop_front();
+double LoadOrderBudget::allowed(Millis now) {
+  if (!is_limited()) return std::numeric_limits<double>::infinity();
   forget_requests(now);
-  const double allowed = settings_.load_floor + settings_.load_ratio * static_cast<double>(requests_.size());
-  return static_cast<double>(orders_.size()) + 1 <= allowed;
+  return settings_.load_floor + settings_.load_ratio * static_cast<double>(requests_.size());
+}
+
+double LoadOrderBudget::left(Millis now) {
+  while (!orders_.empty() && now - orders_.front() > settings_.load_window) orders_.pop_front();
+  return allowed(now) - static_cast<double>(orders_.size());
 }
 
 void LoadOrderBudget::order_sent(Millis now) {
--- a/src/policy/membership_lease.cpp
+++ b/src/policy/membership_lease.cpp
@@ -4,12 +4,11 @@
 #include <string>
 #include <utility>
 
+#include "policy/drain_grace.h"
+
 namespace pathstack::policy {
 namespace {
 
-/// Part of the drain grace for which a lease lasts. The rest is for the way to the worker: the invoker writes
-/// nothing that has waited longer for its connection.
-constexpr double kLeasePart = 0.8;
 constexpr Millis kAnswerTimeout{100};    // a probe unanswered for so long: other workers are tried
 constexpr Millis kAskAgain{1000};        // the pace of probes at a worker that answers none
 constexpr Millis kNotWellFor{1000};      // a drain lasts seconds; a worker that recovers is asked again
@@ -18,7 +17,10 @@
 }  // namespace
 
 MembershipLease::MembershipLease(const Settings& settings, const WorkerTable& workers, ActionSink& actions)
-    : settings_(settings), workers_(workers), actions_(actions), lease_(settings.drain_grace * kLeasePart) {}
+    : settings_(settings),
+      workers_(workers),
+      actions_(actions),
+      lease_(lease_on_worker(settings.drain_grace, settings.probes)) {}
 
 void MembershipLease::reset(WorkerIndex worker) {
   if (records_.size() <= worker) records_.resize(worker + 1);
@@ -26,15 +28,26 @@
 }
 
 bool MembershipLease::is_confirmed(WorkerIndex worker, Millis now) const {
-  return is_list_current(now) || now - records_[worker].accepted_at <= lease_;
+  if (is_list_current(now)) return true;
+  return has_lease(worker, now) && !is_doubted(worker);
+}
+
+bool MembershipLease::has_lease(WorkerIndex worker, Millis now) const {
+  return is_list_current(now) || now - vouched_until(worker) <= lease_;
+}
+
+// One that drained before the list ceased to be current has accepted nothing since.
+Millis MembershipLease::vouched_until(WorkerIndex worker) const {
+  const Millis accepted_at = records_[worker].accepted_at;
+  return accepted_at < list_.until ? accepted_at : std::max(accepted_at, list_.later_changes_from);
 }
 
 bool MembershipLease::is_candidate(WorkerIndex worker, Millis now) const {
   if (is_list_current(now)) return true;
   const Record& record = records_[worker];
   if (now < record.withheld_until) return false;
+  if (!settings_.probes) return record.kept && is_confirmed(worker, now);
   if (is_confirmed(worker, now)) return true;
-  if (!settings_.probes) return false;
   const Millis unanswered_for = now - record.asked_at;
   return unanswered_for <= kAnswerTimeout || unanswered_for > kAskAgain;
 }
@@ -47,6 +60,11 @@
   actions_.emit(action::Probe{workers_[worker].worker});
 }
 
+void MembershipLease::accepted(WorkerIndex worker, std::uint64_t function, Millis sent_at) {
+  records_[worker].accepted_function = function;
+  accepted(worker, sent_at);
+}
+
 void MembershipLease::accepted(WorkerIndex worker, Millis sent_at) {
   Record& record = records_[worker];
   record.accepted_at = std::max(record.accepted_at, sent_at);
--- a/src/policy/membership_lease.h
+++ b/src/policy/membership_lease.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <limits>
 #include <vector>
 
@@ -16,8 +17,8 @@
 /// once the lease on the list has ended, any worker may have drained unheard. A worker that drains turns new
 /// work away, also a probe. So one that has accepted work, or answered a probe with well, was not draining
 /// when that was sent, and may be given new work for a part of the drain grace from then on. Any other worker
-/// is asked first, by a probe, when work waits for it. Where the settings allow no probe, only workers that
-/// accept work often enough stay in use.
+/// is asked first, by a probe, when work waits for it. Where the settings allow no probe, only those stay in
+/// use that are kept (see LeaseRenewal) and accept work, or load orders, often enough.
 ///
 /// Owned by Policy; asked through OutlierDetector::is_usable and by Scheduler. Every call is O(1). The
 /// incident behind it: docs/incidents/2026-12-02-membership-outage.md.
@@ -30,8 +31,11 @@
 
   /// Changes that were not received may count as told from `until` on. It may also be before the last one.
   /// Without any call the list is always current, as on the simulator's wire, which tells every change.
-  void set_list_current_until(Millis until) { list_current_until_ = until; }
-  bool is_list_current(Millis now) const { return now <= list_current_until_ + lease_; }
+  void set_list_lease(const event::ListLease& lease) { list_ = lease; }
+  Millis list_current_until() const { return list_.until; }
+  bool is_list_current(Millis now) const { return now <= list_.until + lease_; }
+  /// How long something that a worker accepted vouches for it.
+  Millis length() const { return lease_; }
 
   /// New work may go to the worker now.
   bool is_confirmed(WorkerIndex worker, Millis now) const;
@@ -40,12 +44,31 @@
   /// Asks the worker whether it takes new work; no effect if it was asked a moment ago.
   void ask(WorkerIndex worker, Millis now);
 
-  /// The worker has accepted what was sent to it at `sent_at`.
-  void accepted(WorkerIndex worker, Millis sent_at);
+  /// The worker was not draining when something that it accepted was sent, or the list was current: whatever
+  /// it has said since, the drain grace may be used from then on.
+  bool has_lease(WorkerIndex worker, Millis now) const;
+  /// From when on the drain grace of the worker may run: it may have begun to drain unheard by then.
+  Millis vouched_until(WorkerIndex worker) const;
+  /// When the last thing that it accepted was sent.
+  Millis accepted_at(WorkerIndex worker) const { return records_[worker].accepted_at; }
+  /// The function of that.
+  std::uint64_t accepted_function(WorkerIndex worker) const { return records_[worker].accepted_function; }
+  /// It has turned something away since: it is full, or drains.
+  bool is_doubted(WorkerIndex worker) const {
+    return records_[worker].turned_away_at >= records_[worker].accepted_at &&
+           records_[worker].turned_away_at > kNever;
+  }
+
+  /// The worker has accepted what was sent to it at `sent_at`, for a function that stands there now.
+  void accepted(WorkerIndex worker, std::uint64_t function, Millis sent_at);
   /// It has turned a call or an order away: full, or draining.
-  void turned_away(WorkerIndex worker) { records_[worker].accepted_at = kNever; }
-  /// Its process may have ended: nothing that it accepted vouches for it.
-  void connections_lost(WorkerIndex worker) { records_[worker].accepted_at = kNever; }
+  void turned_away(WorkerIndex worker, Millis now) { records_[worker].turned_away_at = now; }
+  /// It drains, or its process may have ended: nothing that it accepted vouches for it.
+  void end(WorkerIndex worker) { records_[worker].accepted_at = kNever; }
+
+  /// Without probes, new work goes to kept workers alone while the list is not current.
+  void keep(WorkerIndex worker, bool kept) { records_[worker].kept = kept; }
+  bool is_kept(WorkerIndex worker) const { return records_[worker].kept; }
 
   /// What the end of a probe says of the worker while the list is not current.
   enum class Word {
@@ -67,6 +90,9 @@
  private:
   struct Record {
     Millis accepted_at{kNever};     // it was not draining then
+    Millis turned_away_at{kNever};  // it turned something away then
+    std::uint64_t accepted_function = 0;
+    bool kept = false;
     Millis asked_at{kNever};        // kNever: no probe is out
     Millis withheld_until{kNever};  // it is not well, or cannot be asked
     bool was_not_well = false;      // by its last word
@@ -76,10 +102,11 @@
   const WorkerTable& workers_;
   ActionSink& actions_;
   const Millis lease_;
-  Millis list_current_until_{std::numeric_limits<double>::infinity()};
+  event::ListLease list_{Millis(std::numeric_limits<double>::infinity())};
   std::vector<Record> records_;  // by WorkerIndex
   std::size_t asked_ = 0, denied_ = 0;
 
+  void accepted(WorkerIndex worker, Millis sent_at);
   Word deny(WorkerIndex worker, Millis now);
   void withhold(WorkerIndex worker, Millis until, const char* reason);
 };
--- a/src/policy/outcome_recorder.cpp
+++ b/src/policy/outcome_recorder.cpp
@@ -84,7 +84,7 @@
       instance.loaded = 0;
       request.function->missed = true;
       return;
-    case Outcome::full: lease_.turned_away(worker); return limits_.record_full(worker, now);
+    case Outcome::full: lease_.turned_away(worker, now); return limits_.record_full(worker, now);
     case Outcome::connect_failed: return outliers_.connection_failed(worker, false, now);
     case Outcome::reset: return outliers_.connection_failed(worker, true, now);
     case Outcome::unreachable: return outliers_.network_unreachable(worker, now);
@@ -96,7 +96,7 @@
 
 void OutcomeRecorder::record_success(const Request& request, const Attempt& attempt, Instance& instance,
                                      const event::Answer& answer, Millis now) {
-  lease_.accepted(attempt.worker, attempt.sent_at);
+  lease_.accepted(attempt.worker, request.function->id, attempt.sent_at);
   record_times(request, attempt, answer, now);
   outliers_.record_success(attempt.worker, request.class_index, now);
   request.function->missed = false;
@@ -165,7 +165,9 @@
     if (order.copies == 0) function.no_order_before = now + kLeastSilence;
     if (order.copies > 0) function.missed = false;
   }
-  if (order.outcome == Outcome::full) lease_.turned_away(worker);
+  if (order.outcome == Outcome::full) lease_.turned_away(worker, now);
+  const bool stands = order.outcome == Outcome::ok && order.copies > 0;
+  if (stands) lease_.accepted(worker, function.id, now - order.elapsed);
   switch (order.outcome) {
     case Outcome::connect_failed: return outliers_.connection_failed(worker, false, now);
     case Outcome::reset: return outliers_.connection_failed(worker, true, now);
@@ -191,7 +193,7 @@
 
 void OutcomeRecorder::record_connections_lost(WorkerIndex worker, Millis now) {
   if (lease_.is_list_current(now)) return;
-  lease_.connections_lost(worker);
+  lease_.end(worker);
   process_replaced(worker, now);
 }
 
--- a/src/policy/outlier_detector.cpp
+++ b/src/policy/outlier_detector.cpp
@@ -49,8 +49,12 @@
 }
 
 bool OutlierDetector::is_usable(WorkerIndex index, Millis now) const {
+  return lease_.is_candidate(index, now) && is_healthy(index, now);
+}
+
+bool OutlierDetector::is_healthy(WorkerIndex index, Millis now) const {
   const Worker& worker = workers_[index];
-  if (worker.state != WorkerState::ready || !lease_.is_candidate(index, now)) return false;
+  if (worker.state != WorkerState::ready) return false;
   const Record& record = records_[index];
   if (!admits(record.whole, worker, now) || is_silent(index, now)) return false;
   return now - record.suspect_since > kLeastSilence;
--- a/src/policy/outlier_detector.h
+++ b/src/policy/outlier_detector.h
@@ -40,7 +40,9 @@
   /// Another process: what was judged is void.
   void restarted(WorkerIndex worker);
 
-  /// Ready by the list, healthy as a whole, and not withheld while the list is not current.
+  /// Ready by the list, and healthy as a whole.
+  bool is_healthy(WorkerIndex index, Millis now) const;
+  /// Healthy, and not withheld while the list is not current.
   bool is_usable(WorkerIndex index, Millis now) const;
   /// Not ejected for requests of this class; is_usable is a condition of its own.
   bool serves_class(WorkerIndex index, int class_index, Millis now) const;
--- a/src/policy/request_table.cpp
+++ b/src/policy/request_table.cpp
@@ -36,11 +36,15 @@
 void RequestTable::enqueue(const Request& request, QueueEnd end) {
   auto& queue = request.function->queue;
   queue.insert(end == QueueEnd::front ? queue.begin() : queue.end(), request.serial);
+  ++queued_;
 }
 
 void RequestTable::dequeue(const Request& request) {
   auto& queue = request.function->queue;
-  queue.erase(std::remove(queue.begin(), queue.end(), request.serial), queue.end());
+  const auto found = std::find(queue.begin(), queue.end(), request.serial);
+  if (found == queue.end()) return;
+  queue.erase(found);
+  --queued_;
 }
 
 Attempt& RequestTable::start_attempt(Request& request, WorkerIndex worker, Millis now) {
--- a/src/policy/request_table.h
+++ b/src/policy/request_table.h
@@ -35,6 +35,7 @@
   std::uint64_t serial = 0;
   int class_index = -1;
   Function* function = nullptr;
+  Millis arrived_at{0};
   Millis deadline{0};
   Millis objective_at{0};         // an answer after this is late
   bool done = false;              // it has its final answer, or its client left
@@ -66,6 +67,8 @@
   /// In order of arrival.
   std::map<std::uint64_t, Request>& all() { return requests_; }
 
+  /// Requests in the queues of all functions.
+  std::size_t queued() const { return queued_; }
   void enqueue(const Request& request, QueueEnd end);
   void dequeue(const Request& request);
 
@@ -81,6 +84,7 @@
   std::map<std::uint64_t, Request> requests_;  // by serial number
   std::unordered_map<std::string, std::uint64_t> by_id_;
   std::uint64_t next_serial_ = 1;
+  std::size_t queued_ = 0;
 };
 
 }  // namespace pathstack::policy
--- a/src/policy/scheduler.cpp
+++ b/src/policy/scheduler.cpp
@@ -7,12 +7,14 @@
 namespace pathstack::policy {
 
 Scheduler::Scheduler(const Settings& settings, WorkerTable& workers, MembershipLease& lease,
-                     FunctionTable& functions, RequestTable& requests, const ServiceTimes& times,
-                     SlowStart& slow_start, const Admission& admission, RetryPolicy& retries,
-                     WorkerSelector& selector, LoadOrderBudget& order_budget, ActionSink& actions)
+                     LeaseRenewal& renewal, FunctionTable& functions, RequestTable& requests,
+                     const ServiceTimes& times, SlowStart& slow_start, const Admission& admission,
+                     RetryPolicy& retries, WorkerSelector& selector, LoadOrderBudget& order_budget,
+                     ActionSink& actions)
     : settings_(settings),
       workers_(workers),
       lease_(lease),
+      renewal_(renewal),
       functions_(functions),
       requests_(requests),
       times_(times),
@@ -52,7 +54,8 @@
 
 void Scheduler::consider(Function& function, Millis now) {
   // A load would be too much where a probe's answer lets the queue go on in a moment.
-  if (send_queued(function, now) == Blocked::worker_unconfirmed) return;
+  const Blocked blocked = send_queued(function, now);
+  if (blocked == Blocked::worker_unconfirmed || blocked == Blocked::delayed) return;
   if (function.queue.empty() || queued_after_load(function, usable_slots(function, now)) <= 0) return;
   const Request& next = *admission_.next_in_queue(function, now);
   const auto worker = selector_.load_candidate(function, next, now);
@@ -92,6 +95,7 @@
       lease_.ask(instance->worker, now);
       return Blocked::worker_unconfirmed;
     }
+    if (renewal_.delays(*next, requests_.queued(), now)) return Blocked::delayed;
     send(*next, *instance, now);
   }
   return Blocked::queue_is_empty;
@@ -102,7 +106,7 @@
   Instance& instance = function.instance_at(worker);
   if (instance.loading > 0) return;
   Request& next = *admission_.next_in_queue(function, now);
-  const bool may_order = settings_.orders && order_budget_.allows_order(now);
+  const bool may_order = settings_.orders && !renewal_.needs_load_budget() && order_budget_.allows_order(now);
   if (loads_by_sending(function, next, may_order)) {
     if (!retries_.may_send(next, worker, now)) return;
     instance.loaded = 1;
@@ -137,6 +141,7 @@
   attempt.confirmed = instance.confirmed;
   attempt.alone = instance.in_flight == 0;
   workers_.attempt_started(worker, attempt.confirmed, now);
+  if (attempt.confirmed) renewal_.attempt_sent(worker, now);
   ++instance.in_flight;
   instance.used_at = now;
   attempt.warm_up_cost = slow_start_.charge(worker, times_.work(request.class_index), now);
--- a/src/policy/scheduler.h
+++ b/src/policy/scheduler.h
@@ -4,6 +4,7 @@
 #include "policy/admission.h"
 #include "policy/common.h"
 #include "policy/function_table.h"
+#include "policy/lease_renewal.h"
 #include "policy/load_order_budget.h"
 #include "policy/membership_lease.h"
 #include "policy/request_table.h"
@@ -28,9 +29,9 @@
 /// O(functions with a queue x instances).
 class Scheduler {
  public:
-  Scheduler(const Settings& settings, WorkerTable& workers, MembershipLease& lease, FunctionTable& functions,
-            RequestTable& requests, const ServiceTimes& times, SlowStart& slow_start,
-            const Admission& admission, RetryPolicy& retries, WorkerSelector& selector,
+  Scheduler(const Settings& settings, WorkerTable& workers, MembershipLease& lease, LeaseRenewal& renewal,
+            FunctionTable& functions, RequestTable& requests, const ServiceTimes& times,
+            SlowStart& slow_start, const Admission& admission, RetryPolicy& retries, WorkerSelector& selector,
             LoadOrderBudget& order_budget, ActionSink& actions);
 
   /// Sends what may be sent of the function's queue; then begins one load if E > 0.
@@ -44,6 +45,7 @@
   const Settings& settings_;
   WorkerTable& workers_;
   MembershipLease& lease_;
+  LeaseRenewal& renewal_;
   FunctionTable& functions_;
   RequestTable& requests_;
   const ServiceTimes& times_;
@@ -58,7 +60,7 @@
   double queued_after_load(const Function& function, int slots) const;
   double weight_to_load(const Function& function, Millis now) const;
   /// What kept the head of a queue from being sent.
-  enum class Blocked { queue_is_empty, no_instance, worker_unconfirmed };
+  enum class Blocked { queue_is_empty, no_instance, worker_unconfirmed, delayed };
   Blocked send_queued(Function& function, Millis now);
   void start_load(Function& function, WorkerIndex worker, Millis now);
   bool loads_by_sending(const Function& function, const Request& next, bool may_order) const;
--- a/tests/invoker/list_lease_test.cpp
+++ b/tests/invoker/list_lease_test.cpp
@@ -21,7 +21,7 @@
     log.events = 1;
     log.stays_open = true;
     log.breaks_off = false;
-    client.observe_lease([this](Millis reported) { until = reported; });
+    client.observe_lease([this](const ListLease& lease) { until = lease.until(); });
   }
   template <typename Until>
   bool turn_until(const Until& condition) {
--- a/tests/policy/parts.h
+++ b/tests/policy/parts.h
@@ -8,6 +8,8 @@
 #include "policy/admission.h"
 #include "policy/concurrency_limit.h"
 #include "policy/function_table.h"
+#include "policy/lease_renewal.h"
+#include "policy/load_order_budget.h"
 #include "policy/load_reports.h"
 #include "policy/membership_lease.h"
 #include "policy/outlier_detector.h"
@@ -28,6 +30,7 @@
     workers.apply({ListKind::delta, {worker}}, now);
     const WorkerIndex index = workers.find(worker.worker)->index;
     lease.reset(index);
+    renewal.reset(index);
     outliers.reset(index);
     slow_start.reset(index);
     reports.reset(index);
@@ -72,6 +75,8 @@
   FunctionTable functions{settings, times};
   RequestTable requests;
   OutlierDetector outliers{settings, workers, lease, times, functions, actions};
+  LoadOrderBudget orders{settings};
+  LeaseRenewal renewal{settings, workers, lease, functions, times, outliers, orders, actions};
   SlowStart slow_start{settings, workers, outliers, random, actions};
   LoadReports reports{settings, workers, slow_start, actions};
   ConcurrencyLimit limits{settings, workers, reports, random};
--- a/tests/policy/scheduler_test.cpp
+++ b/tests/policy/scheduler_test.cpp
@@ -33,9 +33,9 @@
   LoadOrderBudget order_budget{parts.settings};
   WorkerSelector selector{parts.settings, parts.functions, parts.times,   parts.outliers, parts.slow_start,
                           parts.limits,   parts.admission, parts.retries, placement};
-  Scheduler scheduler{parts.settings, parts.workers, parts.lease,      parts.functions,
-                      parts.requests, parts.times,   parts.slow_start, parts.admission,
-                      parts.retries,  selector,      order_budget,     parts.actions};
+  Scheduler scheduler{parts.settings, parts.workers, parts.lease,      parts.renewal,   parts.functions,
+                      parts.requests, parts.times,   parts.slow_start, parts.admission, parts.retries,
+                      selector,       order_budget,  parts.actions};
   LoadShedder shedder{parts.functions, parts.requests,  parts.times,  parts.outliers,
                       parts.limits,    parts.admission, parts.retries};
   WorkerIndex worker = parts.add_worker(entry("a"));
