AMQP: content on the connection's own channel is refused

A content frame on channel 0 was taken for one of the delivery under way, as the assembler did not look at the channel: a faulty broker could put a header or a body into somebody else's call. It ends the connection now (amqp.stray_content), as other stray content does.

--- a/src/amqp/content_assembler.cpp
+++ b/src/amqp/content_assembler.cpp
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "amqp/connection_setup.h"
+
 namespace pathstack::amqp {
 
 void ContentAssembler::begin(Kind kind) {
@@ -21,7 +23,7 @@
 void ContentAssembler::begin_return() { begin(Kind::returned); }
 
 std::optional<core::Counter> ContentAssembler::take(const Frame& frame) {
-  if (!in_progress()) return core::Counter::amqp_stray_content;
+  if (!in_progress() || frame.channel != kChannel) return core::Counter::amqp_stray_content;
   const auto failure = frame.type == FrameType::header ? take_header(frame) : take_body(frame);
   if (failure) return failure;
   if (body_left_ == 0) complete();
--- a/tests/invoker/amqp_channel_parts_test.cpp
+++ b/tests/invoker/amqp_channel_parts_test.cpp
@@ -57,6 +57,11 @@
   return {FrameType::header, amqp::kChannel, amqp::encode_content_header(body_size, {})};
 }
 
+amqp::Frame on_connection_channel(amqp::Frame frame) {
+  frame.channel = amqp::kConnectionChannel;
+  return frame;
+}
+
 amqp::Frame body_frame(const std::string& body) { return {FrameType::body, amqp::kChannel, body}; }
 
 TEST_CASE("the set-up of an AMQP connection is complete once every consumer runs") {
@@ -135,4 +140,18 @@
 }
 
 }  // namespace
+// A broker's fault, or a peer that is none: content belongs to a channel, never to the connection itself.
+TEST_CASE("AMQP: content on the connection's own channel is refused") {
+  ContentAssembler content(8);
+  content.begin_delivery(DeliveryTag{1}, false);
+  SECTION("its header") {
+    CHECK(content.take(on_connection_channel(header_frame(3))) == Counter::amqp_stray_content);
+  }
+  SECTION("its body") {
+    CHECK_FALSE(content.take(header_frame(3)));
+    CHECK(content.take(on_connection_channel(body_frame("abc"))) == Counter::amqp_stray_content);
+  }
+  CHECK_FALSE(content.take_delivery());
+}
+
 }  // namespace pathstack::test
