AMQP: methods that are cut short take no effect

basic.ack, basic.nack, basic.deliver and channel.flow took effect before it was known whether their arguments could be read: a confirm that broke off settled answers that the broker had not confirmed, with zeros for what was missing (sequence 0 and `multiple`: all of them), and only then did the connection end. Arguments are read first now. The test reads a confirm cut at each byte; the function that it calls is new, so it could not be run on the code before.

--- a/src/amqp/channel.cpp
+++ b/src/amqp/channel.cpp
@@ -183,6 +183,7 @@
   arguments.short_string();  // the consumer tag
   const DeliveryTag tag{arguments.u64()};
   const bool redelivered = read_flag(arguments);
+  if (!arguments.ok()) return fail_connection(core::Counter::amqp_malformed);
   content_.begin_delivery(tag, redelivered);
   return Next::read_on;
 }
@@ -195,16 +196,25 @@
 }
 
 Channel::Next Channel::on_confirm(PublisherConfirm::Outcome outcome, ArgumentReader& arguments) {
+  const auto confirm = read_confirm(outcome, arguments);
+  if (!confirm) return fail_connection(core::Counter::amqp_malformed);
+  listener_.on_publisher_confirm(*confirm);
+  return Next::read_on;
+}
+
+std::optional<PublisherConfirm> read_confirm(PublisherConfirm::Outcome outcome, ArgumentReader& arguments) {
   PublisherConfirm confirm;
   confirm.sequence = PublishSequence{arguments.u64()};
   confirm.multiple = read_flag(arguments);
   confirm.outcome = outcome;
-  listener_.on_publisher_confirm(confirm);
-  return Next::read_on;
+  if (!arguments.ok()) return std::nullopt;
+  return confirm;
 }
 
 Channel::Next Channel::on_flow(ArgumentReader& arguments) {
-  flow_active_ = read_flag(arguments);
+  const bool active = read_flag(arguments);
+  if (!arguments.ok()) return fail_connection(core::Counter::amqp_malformed);
+  flow_active_ = active;
   ArgumentWriter flow_ok;
   flow_ok.u8(flow_active_ ? 1 : 0);
   write_method(Method::channel_flow_ok, kChannel, flow_ok);
--- a/src/amqp/channel.h
+++ b/src/amqp/channel.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,6 +28,9 @@
   Outcome outcome = Outcome::acked;
 };
 
+/// Reads the arguments of a confirm; nothing if they are cut short.
+std::optional<PublisherConfirm> read_confirm(PublisherConfirm::Outcome outcome, ArgumentReader& arguments);
+
 /// Is notified of what comes from the broker, on the loop's thread.
 class ChannelListener {
  public:
--- a/tests/invoker/amqp_channel_parts_test.cpp
+++ b/tests/invoker/amqp_channel_parts_test.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "amqp/channel.h"
 #include "amqp/connection_setup.h"
 #include "amqp/content_assembler.h"
 
@@ -154,4 +155,20 @@
   CHECK_FALSE(content.take_delivery());
 }
 
+// Guards against an answer that counts as confirmed though the broker's confirm broke off.
+TEST_CASE("AMQP: a confirm that is cut short is none") {
+  ArgumentWriter whole;
+  whole.u64(7).u8(1);
+  ArgumentReader complete(whole.bytes());
+  const auto confirm = amqp::read_confirm(amqp::PublisherConfirm::Outcome::acked, complete);
+  REQUIRE(confirm);
+  CHECK(confirm->sequence == amqp::PublishSequence{7});
+  CHECK(confirm->multiple);
+  const std::string bytes = whole.bytes();
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    ArgumentReader cut(std::string_view(bytes).substr(0, size));
+    CHECK_FALSE(amqp::read_confirm(amqp::PublisherConfirm::Outcome::acked, cut));
+  }
+}
+
 }  // namespace pathstack::test
