AMQP: a message id never equals the key of a call without one

The key of a call without a message id is made of its reply address and begins with a line feed. A message id may begin so as well: two calls could then share an answer, and the id was left out of the answer. Such ids are escaped. The test fails without the change (seen).

--- a/src/amqp/call_codec.cpp
+++ b/src/amqp/call_codec.cpp
@@ -28,6 +28,7 @@
 
 /// Begins the keys of calls without a message id.
 constexpr char kDerivedKeyMark = '\n';
+constexpr char kEscapedIdMark = '\r';  // in front of a message id that begins with either mark
 
 /// A header as text; numbers in decimal digits. Empty if it is absent or neither.
 std::string header_text(const FieldTable& headers, const char* name) {
@@ -93,7 +94,10 @@
 }
 
 CallKey call_key(const BasicProperties& properties) {
-  if (!properties.message_id.empty()) return properties.message_id;
+  const std::string& id = properties.message_id;
+  const bool is_marked = !id.empty() && (id.front() == kDerivedKeyMark || id.front() == kEscapedIdMark);
+  if (is_marked) return kEscapedIdMark + id;
+  if (!id.empty()) return id;
   return kDerivedKeyMark + properties.reply_to + kDerivedKeyMark + properties.correlation_id;
 }
 
@@ -128,7 +132,8 @@
   properties.content_type = "application/octet-stream";
   properties.correlation_id = address.correlation_id;
   const bool has_message_id = key.front() != kDerivedKeyMark;
-  if (has_message_id) properties.message_id = key;
+  const bool is_escaped = key.front() == kEscapedIdMark;
+  if (has_message_id) properties.message_id = is_escaped ? key.substr(1) : key;
   properties.delivery_mode = kPersistent;
   properties.headers[kStatusHeader] = std::string(status_word(answer.verdict));
   if (answer.cooldown.count() > 0) {
--- a/tests/invoker/amqp_channel_parts_test.cpp
+++ b/tests/invoker/amqp_channel_parts_test.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 #include <vector>
 
+#include "amqp/call_codec.h"
 #include "amqp/channel.h"
 #include "amqp/connection_setup.h"
 #include "amqp/content_assembler.h"
@@ -171,4 +172,20 @@
   }
 }
 
+// Guards against two calls that share an answer: a key derived from addresses begins with a line feed.
+TEST_CASE("AMQP: a message id never equals the key of a call without one") {
+  amqp::BasicProperties without_id;
+  without_id.reply_to = "q";
+  without_id.correlation_id = "c";
+  const amqp::CallKey derived = amqp::call_key(without_id);
+  const std::string id =
+      GENERATE(std::string("\nq\nc"), std::string("\r\nq\nc"), std::string("\r"), std::string("m"));
+  amqp::BasicProperties with_id = without_id;
+  with_id.message_id = id;
+  const amqp::CallKey key = amqp::call_key(with_id);
+  CHECK(key != derived);
+  CHECK(amqp::encode_answer({}, key, {"q", "c"}).message_id == id);
+  CHECK(amqp::encode_answer({}, derived, {"q", "c"}).message_id.empty());
+}
+
 }  // namespace pathstack::test
