Event log: a line that may not be written is not built

An overload built every line of refused calls before the token bucket said no. The token is taken first now; events_suppressed counts as before.

--- a/src/core/event_log.cpp
+++ b/src/core/event_log.cpp
@@ -42,7 +42,16 @@
   return true;
 }
 
+bool EventLog::may_write(Millis now) {
+  if (take_token(now)) return true;
+  counters_.add(Counter::log_events_suppressed);
+  return false;
+}
+
+// In an overload a line that is not written costs nothing.
 void EventLog::write(std::string_view name, std::initializer_list<Field> fields) {
+  const Millis now = clock_();
+  if (!may_write(now)) return;
   std::string text;
   for (const auto& [key, value] : fields) {
     text += ' ';
@@ -50,17 +59,17 @@
     text += '=';
     text += value;
   }
-  write(name, text);
+  write_line(now, name, text);
 }
 
 void EventLog::write(const std::string& text) {
+  const Millis now = clock_();
+  if (!may_write(now)) return;
   const std::size_t end = std::min(text.find(' '), text.size());
-  write(std::string_view(text).substr(0, end), text.substr(end));
+  write_line(now, std::string_view(text).substr(0, end), text.substr(end));
 }
 
-void EventLog::write(std::string_view name, const std::string& fields) {
-  const Millis now = clock_();
-  if (!take_token(now)) return counters_.add(Counter::log_events_suppressed);
+void EventLog::write_line(Millis now, std::string_view name, const std::string& fields) {
   char time[32];
   std::snprintf(time, sizeof time, "%.3f", now.count() / kMillisPerSecond);
   std::string line = "event ";
--- a/src/core/event_log.h
+++ b/src/core/event_log.h
@@ -41,7 +41,8 @@
   Millis filled_at_;
 
   bool take_token(Millis now);
-  void write(std::string_view name, const std::string& fields);
+  bool may_write(Millis now);
+  void write_line(Millis now, std::string_view name, const std::string& fields);
 };
 
 }  // namespace pathstack::core
