--- a/tests/invoker/random_faults_test.cpp
+++ b/tests/invoker/random_faults_test.cpp
@@ -287,6 +287,20 @@
   return found;
 }
 
+// What nobody waits for is given up: dropped, or its connection closed.
+Violations attempts_kept_after_the_client_left(const CallBook& book) {
+  Violations found;
+  const Millis most = kAfterLeaving + kSocketSlack + TurnClock::kLongestTurn;
+  for (const auto& [ref, call] : book.calls) {
+    for (const auto& attempt : call.attempts) {
+      if (!call.withdrawn || attempt.came.at > call.withdrawn->at) continue;
+      const bool is_over = attempt.over && attempt.over->at <= call.withdrawn->at + most;
+      if (!is_over) found.push_back(described(call, "an attempt was kept after its client left"));
+    }
+  }
+  return found;
+}
+
 Violations timeouts_beyond_the_clients(const CallBook& book) {
   Violations found;
   for (const auto& [ref, call] : book.calls) {
@@ -331,6 +345,7 @@
   CHECK(overlapping_attempts(book) == none);
   CHECK(attempts_beyond_the_bound(book, session.settings().max_attempts) == none);
   CHECK(attempts_after_the_client_left(book) == none);
+  CHECK(attempts_kept_after_the_client_left(book) == none);
   CHECK(timeouts_beyond_the_clients(book) == none);
   CHECK(session.open_in_invoker() == 0);
   CHECK(session.serves_newcomer());
