--- a/tests/policy/lease_renewal_test.cpp
+++ b/tests/policy/lease_renewal_test.cpp
@@ -103,4 +103,24 @@
   CHECK(fleet.served > served);
 }
 
+// Where probes are allowed, these too grow with the work, not with the fleet.
+TEST_CASE("MembershipLease: probes are bounded by the calls, whatever the number of workers",
+          "[lease-renewal]") {
+  const int workers = GENERATE(11, 60, 240);
+  Settings s = settings_without_probes(30);
+  s.probes = true;
+  SimulatedFleet fleet(s, workers, 60);
+  fleet.answers_probes = true;
+  fleet.functions = 200;
+  fleet.play(5000);
+  fleet.begin_outage();
+  fleet.play(1000);
+  const int calls = fleet.calls, served = fleet.served, probes = fleet.probes;
+  fleet.play(20000);
+  CAPTURE(workers, (fleet.probes - probes) / 20.0);
+  CHECK(fleet.probes - probes <= fleet.calls - calls);
+  CHECK(fleet.probes > probes);
+  CHECK(fleet.served - served >= 0.95 * (fleet.calls - calls));
+}
+
 }  // namespace pathstack::policy::test
--- a/tests/policy/simulated_fleet.h
+++ b/tests/policy/simulated_fleet.h
@@ -34,8 +34,8 @@
   void answer_with(const std::string& worker, Outcome outcome) { outcomes_[worker] = outcome; }
   /// The probes sent so far are answered: the worker says that it is well.
   void answer_probes(const std::string& worker) {
-    for (const std::string& probed : std::exchange(invoker_.probes, {})) {
-      if (probed == worker) invoker_.give(event::Probed{probed, Outcome::ok, Millis(1), std::nullopt});
+    if (std::exchange(probes, 0) > 0) {
+      invoker_.give(event::Probed{worker, Outcome::ok, Millis(1), std::nullopt});
     }
   }
   void drain(const std::string& worker) { drains_[worker] = invoker_.now; }
@@ -44,7 +44,8 @@
   }
 
   Invoker& invoker() { return invoker_; }
-  int calls = 0, served = 0, orders = 0, sends = 0, late = 0;
+  int calls = 0, served = 0, orders = 0, sends = 0, late = 0, probes = 0;
+  bool answers_probes = false;                                  // by what the worker is, in the next step
   std::uint64_t functions = 6;                                  // that calls name
   std::set<std::string> used;                                   // workers that calls were sent to
   std::map<std::pair<std::string, std::string>, int> attempts;  // by call and worker
@@ -62,6 +63,7 @@
   std::map<std::string, Millis> drains_;
   std::map<std::string, Outcome> outcomes_;
   std::vector<Pending> pending_;
+  std::vector<std::pair<std::string, Millis>> probes_out_;
   std::mt19937 random_{11};
 
   double fraction() { return static_cast<double>(random_() % 100000) / 100000; }
@@ -94,6 +96,10 @@
       const bool at_once = drains(send.worker) || outcomes_.count(send.worker) != 0;
       pending_.push_back({invoker_.now + Millis(at_once ? kStep : run), send, {}, invoker_.now});
     }
+    for (const std::string& worker : std::exchange(invoker_.probes, {})) {
+      ++probes;
+      if (answers_probes) probes_out_.push_back({worker, invoker_.now});
+    }
     for (const action::Load& load : std::exchange(invoker_.loads, {})) {
       check_grace(load.worker);
       ++orders;
@@ -101,6 +107,10 @@
     }
   }
   void answer() {
+    for (const auto& [worker, sent_at] : std::exchange(probes_out_, {})) {
+      const Outcome outcome = drains(worker) ? Outcome::error : Outcome::ok;
+      invoker_.give(event::Probed{worker, outcome, invoker_.now - sent_at, std::nullopt});
+    }
     const auto due = std::partition(pending_.begin(), pending_.end(),
                                     [&](const Pending& each) { return each.at > invoker_.now; });
     const std::vector<Pending> ended(due, pending_.end());
