Workers that turn calls away keep their place: the pause after a refusal is enough

An invoker of many sees a worker seldom, so two or four refusals in a row there are a peak, not a fault, and the call that avoids it loads elsewhere. It is not needed: the unit test and the schedule for a worker that is full without end pass without it, also on.

--- a/src/policy/outcome_recorder.cpp
+++ b/src/policy/outcome_recorder.cpp
@@ -86,11 +86,7 @@
       request.function->missed = true;
       if (!settings_.miss_is_answered) record_useless(request, attempt, answer, now);
       return;
-    case Outcome::full:
-      lease_.turned_away(worker, now);
-      outliers_.record_turned_away(worker, now);
-      if (outliers_.turns_all_away(worker)) request.avoid(worker);
-      return limits_.record_full(worker, now);
+    case Outcome::full: lease_.turned_away(worker, now); return limits_.record_full(worker, now);
     case Outcome::connect_failed: return outliers_.connection_failed(worker, false, now);
     case Outcome::reset:
       outliers_.record_lost_answers(worker, request.class_index, now);
--- a/src/policy/outlier_detector.cpp
+++ b/src/policy/outlier_detector.cpp
@@ -14,9 +14,6 @@
 constexpr double kErrorGain = 0.4;          // of a class's failures at one worker: two in a row eject it
 constexpr double kClassErrorGain = 0.05;    // of a class's failures at any worker
 constexpr double kErrorThreshold = 0.5;     // share of failures that ejects, over half the class's share
-constexpr double kRefusalThreshold = 0.8;   // share turned away: four in a row, over half the usual share
-constexpr Millis kRefusesFor{1000};         // longer than a peak of load
-constexpr double kTwoRefusals = 0.6;        // two in a row
 constexpr Millis kOneLoss{20};              // answers lost within this were lost together
 constexpr int kProbesLost = 3;              // so many lost probes on end, and no answer, count as a loss
 constexpr Millis kAliveFor{1000};           // a worker that answered in this time runs
@@ -91,25 +88,6 @@
   if (relapsed || fails_more_than_usual) eject(health, kFirstEjection, now);
 }
 
-// One that is full for a while serves others meanwhile; in an overload many turn away.
-void OutlierDetector::judge_refusals(WorkerIndex worker, bool turned_away, Millis now) {
-  Record& record = records_[worker];
-  record.refusals += kErrorGain * (turned_away - record.refusals);
-  usual_refusals_ += kClassErrorGain * (turned_away - usual_refusals_);
-  if (!turned_away) record.first_refusal_at = kNever;
-  if (turned_away && record.first_refusal_at <= kNever) record.first_refusal_at = now;
-  if (turned_away) record.last_refusal_at = now;
-  const bool relapsed = turned_away && record.whole.half_open;
-  const bool for_long = turned_away && now - record.first_refusal_at >= kRefusesFor;
-  const bool more_than_usual = for_long && record.refusals > kRefusalThreshold + usual_refusals_ / 2;
-  if (relapsed || more_than_usual) eject(record.whole, kFirstEjection, now);
-}
-
-bool OutlierDetector::turns_all_away(WorkerIndex worker) const {
-  const Record& record = records_[worker];
-  return record.refusals > kTwoRefusals && record.last_refusal_at - record.first_refusal_at >= kRefusesFor;
-}
-
 void OutlierDetector::record_lost_answers(WorkerIndex worker, int class_index, Millis now) {
   Record& record = records_[worker];
   if (now - record.answers_lost_at <= kOneLoss) return;
@@ -119,7 +97,6 @@
 
 void OutlierDetector::record_success(WorkerIndex worker, int class_index, Millis now) {
   judge(worker, class_index, false, now);
-  judge_refusals(worker, false, now);
   Health& whole = records_[worker].whole;
   if (now >= whole.ejected_until) whole.half_open = false;
 }
--- a/src/policy/outlier_detector.h
+++ b/src/policy/outlier_detector.h
@@ -18,8 +18,7 @@
 /// - Failures of a class at a worker are judged against the same class elsewhere: a class that fails
 /// everywhere ejects
 ///   nobody. An ejection doubles with each relapse; after it the worker is half-open, one attempt at a time.
-/// - Answers that end no request and tell nothing of it (moot, and unreadable ones) count as failures. A
-///   worker that turns all away, while others do not, is ejected as a whole.
+/// - Answers that end no request and tell nothing of it (moot, and unreadable ones) count as failures.
 /// - A worker with attempts in flight that answers nothing for several usual runs is silent and not used.
 /// Where
 ///   all that is in flight may wait for a load, the time of a load is added.
@@ -55,10 +54,6 @@
   void record_failure(WorkerIndex worker, int class_index, Millis now);
   /// Answers of the worker, of any class, were lost with its connection: one failure, however many.
   void record_lost_answers(WorkerIndex worker, int class_index, Millis now);
-  /// It turned an attempt away as full.
-  void record_turned_away(WorkerIndex worker, Millis now) { judge_refusals(worker, true, now); }
-  /// It has turned away nearly all attempts for a second or longer: it is not full for a moment only.
-  bool turns_all_away(WorkerIndex worker) const;
   void eject(WorkerIndex worker, Millis now);
   /// For an error faster than a run, which no load can have caused.
   void eject_class_for_fast_error(WorkerIndex worker, int class_index, Millis now);
@@ -89,8 +84,6 @@
   struct Record {
     Health whole;
     std::vector<Health> classes;  // by class_slot
-    double refusals = 0;          // share of attempts that it turned away, of late
-    Millis first_refusal_at{kNever}, last_refusal_at{kNever};  // since it last served
     Millis answers_lost_at{kNever};
     bool down = false;  // seen to be down, not yet seen to be back
     Millis answered_at{kNever};
@@ -112,13 +105,11 @@
   ActionSink& actions_;
   std::vector<Record> records_;                 // by WorkerIndex
   std::vector<double> class_errors_;            // by class_slot: share that failed of late, at any worker
-  double usual_refusals_ = 0;                   // of all workers, of late
   std::deque<ProbeToRepeat> probes_to_repeat_;  // in order of time
 
   static bool admits(const Health& health, const Worker& worker, Millis now);
   static bool has_answered_lately(const Record& record, Millis now);
   void judge(WorkerIndex worker, int class_index, bool failed, Millis now);
-  void judge_refusals(WorkerIndex worker, bool turned_away, Millis now);
   static void eject(Health& health, Millis first, Millis now);
   void send_probe(WorkerIndex worker, Millis now);
   void mark_unreachable(WorkerIndex worker, bool died, Millis now);
