--- a/src/feed/event_sequence.cpp
+++ b/src/feed/event_sequence.cpp
@@ -7,7 +7,7 @@
 EventSequence::Result EventSequence::read_line(const std::string& line, core::MemberList& out) {
   auto read = config::read_membership_line(line);
   if (read.number && *read.number > last_) return Result::gap;
-  if (read.number) return *read.number == last_ ? Result::up_to_date : Result::behind;
+  if (read.number) return *read.number == last_ ? Result::up_to_date : Result::no_update;
   if (!read.event) return Result::malformed;
   return read_event(std::move(*read.event), out);
 }
@@ -15,8 +15,7 @@
 EventSequence::Result EventSequence::read_event(config::MembershipEvent&& event, core::MemberList& out) {
   if (!event.seq) return Result::malformed;
   const std::uint64_t seq = *event.seq;
-  if (seq < last_) return Result::behind;
-  if (seq == last_) return Result::no_update;
+  if (seq <= last_) return Result::no_update;
   const bool follows = seq == last_ + 1 || event.list.complete;
   if (!follows) return Result::gap;
   if (event.malformed) return Result::malformed;
--- a/src/feed/event_sequence.h
+++ b/src/feed/event_sequence.h
@@ -18,8 +18,7 @@
  public:
   enum class Result {
     update,      // the event is the next one and lists hosts
-    no_update,   // a repeat of the last event, or nothing that concerns the list of hosts
-    behind,      // an earlier event, or its number: it says nothing of what is told now
+    no_update,   // a repeat, or nothing that concerns the list of hosts
     up_to_date,  // the log has no event after the last one that has passed
     gap,         // an event before this one is missing
     malformed    // cannot be read
--- a/src/feed/membership_client.cpp
+++ b/src/feed/membership_client.cpp
@@ -83,7 +83,7 @@
   }
   // A line that this process was late to read may be as old as the poll before the one that reported it.
   if (result == Result::up_to_date) lease_.confirmed(loop_.previous_poll());
-  if (result == Result::update || result == Result::no_update) lease_.event_received(loop_.previous_poll());
+  if (result != Result::up_to_date) lease_.event_received(loop_.previous_poll());
   backoff_.reset();
   staleness_.line_received();
   if (result != Result::update) {
