Answers lost with a connection: an attempt that counted as lost already is no second failure

A host that went silent under one attempt was ejected at once: the attempt counted when it was overdue, and again when its connection ended.

--- a/src/policy/outcome_recorder.cpp
+++ b/src/policy/outcome_recorder.cpp
@@ -89,10 +89,10 @@
     case Outcome::full: lease_.turned_away(worker, now); return limits_.record_full(worker, now);
     case Outcome::connect_failed: return outliers_.connection_failed(worker, false, now);
     case Outcome::reset:
-      outliers_.record_lost_answers(worker, request.class_index, now);
+      if (!attempt.taken_as_lost) outliers_.record_lost_answers(worker, request.class_index, now);
       return outliers_.connection_failed(worker, true, now);
     case Outcome::unreachable:
-      outliers_.record_lost_answers(worker, request.class_index, now);
+      if (!attempt.taken_as_lost) outliers_.record_lost_answers(worker, request.class_index, now);
       return outliers_.network_unreachable(worker, now);
     case Outcome::moot: return record_useless(request, attempt, answer, now);
     case Outcome::error:
