Review: a client that sends the id of an open request is served another client's body

Case 2 of the review: deliveries from a broker are joined by their message id alone, whatever their body and reply queue.

--- a/review/common/broker.h
+++ b/review/common/broker.h
@@ -32,6 +32,7 @@
     amqp::BasicProperties properties;
     std::string body;
     bool redelivered = false;
+    std::string queue;  // of an answer: where it was published to
   };
 
   Broker(net::Loop& loop, net::BufferPool& pool, Record& record, net::Millis confirm_delay)
@@ -86,6 +87,7 @@
     std::string protocol_header_;
     amqp::FrameParser parser_;
     Message incoming_;
+    std::string reply_queue_;
     std::uint64_t body_left_ = 0;
 
     void received(std::string_view bytes) override {
@@ -113,7 +115,7 @@
         auto header = amqp::decode_content_header(frame.payload);
         if (!header) return end_later();
         body_left_ = header->body_size;
-        incoming_ = {std::move(header->properties), {}, false};
+        incoming_ = {std::move(header->properties), {}, false, reply_queue_};
       } else if (frame.type == amqp::FrameType::body) {
         incoming_.body += frame.payload;
         body_left_ -= frame.payload.size();
@@ -149,6 +151,11 @@
           broker_.consumer_ = this;
           return broker_.deliver();
         }
+        case Method::basic_publish:
+          arguments.u16();
+          arguments.short_string();
+          reply_queue_ = arguments.short_string();
+          return;
         case Method::basic_ack: {
           const auto found = unacked.find(arguments.u64());
           if (found == unacked.end()) return;
