--- a/review/common/worker.h
+++ b/review/common/worker.h
@@ -55,6 +55,8 @@
   const std::string& name() const { return name_; }
   /// Decides what happens to a call that has come whole: true to go on as usual. The default goes on.
   std::function<bool(Worker&, const std::string& ref)> on_call;
+  /// Whether a function exists; calls of others are answered `failed`. All do by default.
+  std::function<bool(const std::string& function)> knows;
 
   void ready(short) override {
     while (true) {
@@ -122,6 +124,8 @@
 
   void take_order(const std::shared_ptr<Peer>& peer, const hosts::Reply& line) {
     const std::string function = net::field(net::parse_fields(line.fields).value_or(net::Fields{}), "asset");
+    const bool known = !knows || knows(function);
+    if (!known) return peer->write(line.word + " failed count=0 0\r\n\r\n");
     const bool loads = loaded_.count(function) == 0;
     loop_.at(loop_.now() + (loads ? settings_.load : Millis(0)),
              [this, weak = std::weak_ptr<Peer>(peer), tag = line.word, function] {
