--- a/review/common/broker.h
+++ b/review/common/broker.h
@@ -32,7 +32,8 @@
     amqp::BasicProperties properties;
     std::string body;
     bool redelivered = false;
-    std::string queue;  // of an answer: where it was published to
+    std::string queue;       // of an answer: where it was published to
+    std::string raw_header;  // the content header as the client encoded it; empty: encoded from `properties`
   };
 
   Broker(net::Loop& loop, net::BufferPool& pool, Record& record, net::Millis confirm_delay)
@@ -115,7 +116,7 @@
         auto header = amqp::decode_content_header(frame.payload);
         if (!header) return end_later();
         body_left_ = header->body_size;
-        incoming_ = {std::move(header->properties), {}, false, reply_queue_};
+        incoming_ = {std::move(header->properties), {}, false, reply_queue_, {}};
       } else if (frame.type == amqp::FrameType::body) {
         incoming_.body += frame.payload;
         body_left_ -= frame.payload.size();
@@ -185,9 +186,9 @@
 
   void gone(Peer& peer) {
     if (consumer_ == &peer) consumer_ = nullptr;
-    for (auto& [tag, message] : peer.unacked) {
-      message.redelivered = true;
-      queue_.push_front(std::move(message));
+    for (auto i = peer.unacked.rbegin(); i != peer.unacked.rend(); ++i) {
+      i->second.redelivered = true;
+      queue_.push_front(std::move(i->second));  // to its old place
     }
     for (auto i = peers_.begin(); i != peers_.end(); ++i) {
       if (i->get() != &peer) continue;
@@ -222,9 +223,10 @@
           .short_string("")
           .short_string("calls");
       consumer_->write_method(amqp::Method::basic_deliver, amqp::kChannel, deliver);
-      consumer_->write(
-          amqp::encode_frame(amqp::FrameType::header, amqp::kChannel,
-                             amqp::encode_content_header(message.body.size(), message.properties)));
+      const bool is_raw = !message.raw_header.empty();
+      const std::string header =
+          is_raw ? message.raw_header : amqp::encode_content_header(message.body.size(), message.properties);
+      consumer_->write(amqp::encode_frame(amqp::FrameType::header, amqp::kChannel, header));
       if (!message.body.empty()) {
         consumer_->write(amqp::encode_frame(amqp::FrameType::body, amqp::kChannel, message.body));
       }
