--- a/review/3/play.cpp
+++ b/review/3/play.cpp
@@ -187,7 +187,7 @@
                             " answers" + (ended ? "; the invoker has ended" : "");
     record_.line(sum);
     std::cout << sum << '\n';
-    if (served_ == 0) return 2;
+    if (served_ == 0 || peak_kb_ <= 0) return 2;  // the run or the measurement failed
     return ended || peak_kb_ > kMemoryMb * 1024.0 ? 1 : 0;
   }
 };
--- a/review/common/program.h
+++ b/review/common/program.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -22,6 +23,7 @@
     pid_ = fork();
     if (pid_ < 0) throw std::runtime_error("cannot fork");
     if (pid_ > 0) return;
+    prctl(PR_SET_PDEATHSIG, SIGKILL);  // it ends with the test, however that ends
     const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(out, STDOUT_FILENO);
     dup2(out, STDERR_FILENO);
