--- a/review/3/play.cpp
+++ b/review/3/play.cpp
@@ -40,7 +40,7 @@
     settings.load = Millis(400);
     settings.loads_on_call = true;
     for (int i = 0; i < kWorkers; ++i) {
-      workers_.push_back(std::make_unique<Worker>(loop_, pool_, quiet_, "s-" + std::to_string(i), settings));
+      workers_.push_back(std::make_unique<Worker>(loop_, pool_, record_, "s-" + std::to_string(i), settings));
       workers_.back()->knows = [](const std::string& function) { return function < hex16(kFunctions); };
     }
   }
@@ -76,7 +76,6 @@
   net::Loop loop_;
   net::BufferPool pool_{16384};
   Record record_;
-  Record quiet_{"/dev/null"};
   ChangeLog log_;
   std::vector<std::unique_ptr<Worker>> workers_;
   std::vector<std::shared_ptr<Client>> usual_;
@@ -118,8 +117,10 @@
 
   void open_usual_client() {
     usual_.push_back(std::make_shared<Client>(loop_, pool_, address_));
-    usual_.back()->on_answer = [this](Client&, const Client::Words& words) {
+    const std::size_t number = usual_.size();
+    usual_.back()->on_answer = [this, number](Client&, const Client::Words& words) {
       if (words.size() < 2) return;
+      record_.line("usual client " + std::to_string(number) + " gets " + words[0] + ' ' + words[1]);
       if (words[1] == "OK") ++served_;
       if (words[1] == "BUSY") ++refused_;
       if (words[1] == "FAILED") ++failed_;
@@ -129,6 +130,8 @@
   void send_usual_call() {
     const int number = ++sent_usual_;
     Client& client = *usual_[static_cast<std::size_t>(number % kUsualClients)];
+    record_.line("usual client " + std::to_string(number % kUsualClients + 1) + " sends " +
+                 std::to_string(number));
     client.write(call(number, hex16(random_() % (kFunctions - 1) + 1), std::string(kUsualBody, 'u')));
   }
 
@@ -137,7 +140,10 @@
     ++bad_open_;
     ++bad_connections_;
     auto client = std::make_shared<Client>(loop_, pool_, address_);
-    client->on_connected = [this](Client& c) {
+    const int connection = bad_connections_;
+    client->on_connected = [this, connection](Client& c) {
+      record_.line("bad client " + std::to_string(connection) + " sends " + std::to_string(kAtOnce) +
+                   " requests and half of one");
       for (int i = 1; i <= kAtOnce; ++i) {
         c.write(call(i, hex16(random_() | 1ULL << 63), std::string(i <= kLarge ? kLargestBody : 1, 'b')));
       }
@@ -146,9 +152,15 @@
           call(kAtOnce + 1, hex16(random_() | 1ULL << 63), std::string(kLargestBody, 'h'));
       c.write(half.substr(0, half.size() - 3));
     };
-    client->on_answer = [this](Client&, const Client::Words&) { ++bad_answers_; };
-    client->on_ended = [this](Client& c) {
+    auto answers = std::make_shared<int>(0);
+    client->on_answer = [this, answers](Client&, const Client::Words&) {
+      ++bad_answers_;
+      ++*answers;
+    };
+    client->on_ended = [this, connection, answers](Client& c) {
       --bad_open_;
+      record_.line("bad client " + std::to_string(connection) + " ends with " + std::to_string(*answers) +
+                   " answers");
       for (auto i = bad_.begin(); i != bad_.end(); ++i) {
         if (i->get() != &c) continue;
         loop_.defer_destruction(*i);
