Decision module: function records are small, and bounded by memory

Over 1 KB of each was two nodes of an empty std::deque; the list of candidates takes 8 bytes for each worker, and the number of records was bounded (4,096), not their memory: with 3,200 workers that is 105 MB.

Change: queues are vectors (no memory while empty), indices of workers are 32 bits, lists of candidates have no spare capacity. Settings::max_function_bytes bounds the estimated memory: beyond it, records that no worker has served go first, then lists that no queued request needs (Placement computes them again, with the same result), last unused records of served functions. The estimate can be asked (Policy::function_bytes, bytes_to_add).

Test: retry_policy_test compares a queue by its new type.

--- a/include/pathstack/policy.h
+++ b/include/pathstack/policy.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -112,6 +114,9 @@
   std::vector<ReportField> report_fields;
   double over_share_value = 1, cross_zone_cost = 0, origin_cost = 0, probe_cost = 0, idle_cost = 0;
   std::uint64_t seed = 0;
+  // Memory of the records of functions, in bytes: beyond it, what is known of unused functions is dropped
+  // early.
+  std::size_t max_function_bytes = std::numeric_limits<std::size_t>::max();
 };
 
 /// A load report: the values of `Settings::report_fields`, in the same order; empty if there is none.
@@ -288,6 +293,12 @@
   /// depends on them.
   std::map<std::string, double> statistics() const;
 
+  /// Estimated memory of the records of all functions, in bytes. O(1).
+  std::size_t function_bytes() const;
+  /// Estimated memory in bytes that a request of `function` adds to `function_bytes`: that of a record and of
+  /// a list of candidate workers, where the function has none yet. O(1).
+  std::size_t bytes_to_add(std::uint64_t function) const;
+
  private:
   class State;
   std::unique_ptr<State> state_;
--- a/src/policy/common.h
+++ b/src/policy/common.h
@@ -16,7 +16,7 @@
 
 /// Index of a worker in the worker table; other components store their data about a worker under the same
 /// index. Valid from the list that adds the worker until the table prunes it; then the index is reused.
-using WorkerIndex = std::size_t;
+using WorkerIndex = std::uint32_t;
 
 /// A time before any that a clock returns.
 inline constexpr Millis kNever{-1e15};
--- a/src/policy/engine.cpp
+++ b/src/policy/engine.cpp
@@ -103,6 +103,7 @@
   renewal_.request_arrived(now);
   const int class_index = class_index_of(event.class_name);
   Function& function = functions_.request_arrived(event, class_index, now);
+  functions_.expect_candidates(function, static_cast<std::size_t>(workers_.ready_count()));
   Request& request = requests_.create(event.id, class_index, function);
   request.arrived_at = now;
   request.deadline = now + event.expires_in;
--- a/src/policy/engine.h
+++ b/src/policy/engine.h
@@ -56,6 +56,12 @@
   /// Adds the counters and current values that operators read in the log, by name. O(workers + functions).
   void add_counters(std::map<std::string, double>& counters, Millis now) const;
 
+  /// See `Policy`.
+  std::size_t function_bytes() const { return functions_.bytes(); }
+  std::size_t bytes_to_add(std::uint64_t function) const {
+    return functions_.bytes_to_add(function, static_cast<std::size_t>(workers_.ready_count()));
+  }
+
  private:
   const Settings settings_;
   ActionSink& actions_;
--- a/src/policy/function_table.cpp
+++ b/src/policy/function_table.cpp
@@ -8,6 +8,7 @@
 constexpr Millis kIdleRetention{60000};      // a function is pruned this long after its last request
 constexpr Millis kUnservedRetention{5000};   // the same for a function that no worker has served
 constexpr std::size_t kMaxFunctions = 4096;  // above this number, functions are pruned once unused
+constexpr std::size_t kFunctionBytes = 400;  // estimated size of a record with its entries in both tables
 constexpr int kMaxSlots = 1024;              // bounds the concurrency that a request may state
 
 }  // namespace
@@ -33,6 +34,7 @@
     entry->second = functions_.back().get();
     entry->second->id = request.function;
     entry->second->first_seen = now;
+    bytes_ += kFunctionBytes;
   }
   Function& function = *entry->second;
   function.times.class_index = class_index;
@@ -93,15 +95,46 @@
 }
 
 void FunctionTable::prune(Millis now) {
+  remove_unused(now, kIdleRetention, kUnservedRetention);
+  if (exceeds_limits()) remove_unused(now, kIdleRetention, kSweepInterval);
+  if (exceeds_memory()) drop_idle_candidates();
+  if (exceeds_limits()) remove_unused(now, kSweepInterval, kSweepInterval);
+}
+
+void FunctionTable::remove_unused(Millis now, Millis served_retention, Millis unserved_retention) {
   const auto is_stale = [&](const std::unique_ptr<Function>& function) {
-    Millis retention = function->times.run.known() ? kIdleRetention : kUnservedRetention;
-    if (functions_.size() > kMaxFunctions) retention = kSweepInterval;
+    const Millis retention = function->times.run.known() ? served_retention : unserved_retention;
     const bool in_use = !function->queue.empty() || !function->instances.empty();
     if (in_use || now - function->last_seen <= retention) return false;
     by_id_.erase(function->id);
     return true;
   };
   functions_.erase(std::remove_if(functions_.begin(), functions_.end(), is_stale), functions_.end());
+  update_bytes();
+}
+
+void FunctionTable::drop_idle_candidates() {
+  for (const auto& function : functions_) {
+    if (function->queue.empty()) function->candidates = Candidates();
+  }
+  update_bytes();
+}
+
+void FunctionTable::update_bytes() {
+  bytes_ = functions_.size() * kFunctionBytes;
+  for (const auto& function : functions_) {
+    bytes_ += function->candidates.order.capacity() * sizeof(WorkerIndex) +
+              function->instances.capacity() * sizeof(Instance);
+  }
+}
+
+bool FunctionTable::exceeds_limits() const { return functions_.size() > kMaxFunctions || exceeds_memory(); }
+
+std::size_t FunctionTable::bytes_to_add(std::uint64_t id, std::size_t workers) const {
+  const std::size_t list_bytes = workers * sizeof(WorkerIndex);
+  const auto found = by_id_.find(id);
+  if (found == by_id_.end()) return kFunctionBytes + list_bytes;
+  return found->second->candidates.order.empty() ? list_bytes : 0;
 }
 
 }  // namespace pathstack::policy
--- a/src/policy/function_table.h
+++ b/src/policy/function_table.h
@@ -3,7 +3,6 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -41,7 +40,7 @@
   std::uint64_t id = 0;
   int slots = 1;  // concurrency slots of one instance
   FunctionTimes times;
-  std::deque<std::uint64_t> queue;  // serial numbers of queued requests
+  std::vector<std::uint64_t> queue;  // serial numbers of queued requests, next first; empty: no memory
   std::vector<Instance> instances;
   Candidates candidates;
   double arrivals = 0;  // recent requests: a count that decays exponentially, as of last_seen
@@ -64,8 +63,11 @@
 /// Owned by Engine. An unused instance counts as unloaded after the keep-alive time of the settings. A load
 /// order whose answer is lost or late times out; otherwise its function would wait for the answer forever. A
 /// function is pruned when nothing of it is queued, loaded or in flight and no request has named it for a
-/// while. Clients may request any function name, so functions are pruned sooner when there are many. expire,
-/// prune and clear_instances are O(functions x instances), the rest is O(1) or O(instances of the function).
+/// while. Clients may request any function name. So when there are many functions, or their records exceed
+/// the memory limit of the settings, those that no worker has served are pruned sooner, then candidate lists
+/// that no queued request needs are dropped (Placement recomputes them), and last, unused functions that were
+/// served. expire, prune and clear_instances are O(functions x instances), the rest is O(1) or O(instances of
+/// the function).
 class FunctionTable {
  public:
   FunctionTable(const Settings& settings, const ServiceTimes& times) : settings_(settings), times_(times) {}
@@ -95,14 +97,31 @@
   /// Removes functions that are not in use; see the class comment.
   void prune(Millis now);
 
+  /// Records that the function is about to get a candidate list of `workers` entries.
+  void expect_candidates(const Function& function, std::size_t workers) {
+    if (function.candidates.order.empty()) bytes_ += workers * sizeof(WorkerIndex);
+  }
+  /// Estimated memory of all records with their candidate lists, in bytes. Exact at each `prune`, an upper
+  /// bound in between.
+  std::size_t bytes() const { return bytes_; }
+  /// Estimated memory in bytes that a request of the function adds, if a candidate list has `workers`
+  /// entries.
+  std::size_t bytes_to_add(std::uint64_t id, std::size_t workers) const;
+
  private:
   const Settings& settings_;
   const ServiceTimes& times_;
   std::vector<std::unique_ptr<Function>> functions_;
   std::unordered_map<std::uint64_t, Function*> by_id_;
   int loads_in_flight_ = 0;
+  std::size_t bytes_ = 0;  // see `bytes`
 
   void expire_instances(Function& function, Millis now);
+  void remove_unused(Millis now, Millis served_retention, Millis unserved_retention);
+  void drop_idle_candidates();
+  void update_bytes();
+  bool exceeds_memory() const { return bytes_ > settings_.max_function_bytes; }
+  bool exceeds_limits() const;
 };
 
 }  // namespace pathstack::policy
--- a/src/policy/load_shedder.cpp
+++ b/src/policy/load_shedder.cpp
@@ -1,7 +1,7 @@
 #include "policy/load_shedder.h"
 
 #include <algorithm>
-#include <deque>
+#include <vector>
 
 namespace pathstack::policy {
 
@@ -32,7 +32,8 @@
   if (function.queue.empty()) return;
   const auto is_loading = [](const Instance& instance) { return instance.loading > 0; };
   const bool loading = std::any_of(function.instances.begin(), function.instances.end(), is_loading);
-  const std::deque<std::uint64_t> queued = function.queue;  // a copy: give_up removes requests from the queue
+  const std::vector<std::uint64_t> queued =
+      function.queue;  // a copy: give_up removes requests from the queue
   for (const std::uint64_t serial : queued) {
     Request& request = requests_.at(serial);
     const Millis run(times_.unloaded_run(function.times));
--- a/src/policy/placement.cpp
+++ b/src/policy/placement.cpp
@@ -52,6 +52,7 @@
   }
   std::sort(order.begin(), shared);
   candidates.order.clear();
+  candidates.order.reserve(order.size());  // no spare capacity: every function has such a list
   for (const auto& [hash, worker] : order) candidates.order.push_back(worker);
   candidates.replicas = replicas;
   candidates.list_version = list_version;
--- a/src/policy/policy.cpp
+++ b/src/policy/policy.cpp
@@ -30,6 +30,11 @@
     return counters;
   }
 
+  std::size_t function_bytes() const { return engine_ ? engine_->function_bytes() : 0; }
+  std::size_t bytes_to_add(std::uint64_t function) const {
+    return engine_ ? engine_->bytes_to_add(function) : 0;
+  }
+
  private:
   Millis now_{kNever};
   ActionSink actions_;
@@ -41,6 +46,8 @@
 Policy::Policy(Policy&&) noexcept = default;
 Policy& Policy::operator=(Policy&&) noexcept = default;
 std::map<std::string, double> Policy::statistics() const { return state_->statistics(); }
+std::size_t Policy::function_bytes() const { return state_->function_bytes(); }
+std::size_t Policy::bytes_to_add(std::uint64_t function) const { return state_->bytes_to_add(function); }
 void Policy::handle(Millis now, const Event& event, std::vector<Action>& out) {
   state_->handle(now, event, out);
 }
--- a/src/policy/worker_table.cpp
+++ b/src/policy/worker_table.cpp
@@ -33,7 +33,7 @@
 
 WorkerIndex WorkerTable::find_or_add(const std::string& id) {
   const bool reused = !free_indices_.empty();
-  const WorkerIndex next = reused ? free_indices_.back() : workers_.size();
+  const WorkerIndex next = reused ? free_indices_.back() : static_cast<WorkerIndex>(workers_.size());
   const auto [place, added] = by_id_.try_emplace(id, next);
   if (added && reused) free_indices_.pop_back();
   if (added && !reused) workers_.emplace_back();
--- a/tests/policy/retry_policy_test.cpp
+++ b/tests/policy/retry_policy_test.cpp
@@ -66,7 +66,7 @@
   Request& request = request_after_attempt(kRepeatable, Outcome::error);
   Request& other = parts.add_request("y", *request.function);
   parts.retries.retry_or_give_up(request, parts.now);
-  CHECK(request.function->queue == (std::deque<std::uint64_t>{request.serial, other.serial}));
+  CHECK(request.function->queue == (std::vector<std::uint64_t>{request.serial, other.serial}));
 }
 
 TEST_CASE_METHOD(RetryPolicyTest,
