--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -10,6 +10,9 @@
 // the rules allow for answers.
 constexpr Millis kOverdueGrace{2};
 constexpr Millis kMinAttemptTimeout{1};
+// Estimated memory in bytes: of an open call without its body, of a deadline here and the timer of the module
+// that goes with it, and of a reference.
+constexpr std::size_t kCallBytes = 1200, kDeadlineBytes = 96, kReferenceBytes = 170;
 
 Counter counter_for(CallStatus status) {
   switch (status) {
@@ -176,6 +179,14 @@
   report_abandoned_attempt(*call, may_have_run ? Outcome::timeout : Outcome::connect_failed, false);
 }
 
+std::size_t Dispatcher::bytes_of(const Call& call) {
+  return kCallBytes + call.body.capacity() + call.idempotency_key.size();
+}
+
+std::size_t Dispatcher::history_bytes() const {
+  return deadlines_.size() * kDeadlineBytes + references_.size() * kReferenceBytes;
+}
+
 // The module must end every call in time; this answers a call that it did not end.
 void Dispatcher::fail_overdue_call(CallId id) {
   if (find_call(id) == nullptr) return;
--- a/src/core/module.h
+++ b/src/core/module.h
@@ -120,6 +120,10 @@
   Millis next_tick() const;
   /// The module's statistics for operators.
   std::map<std::string, double> statistics() const { return policy_.statistics(); }
+  /// The memory of what the module knows of functions, and what a call of `function` would add to it, in
+  /// bytes; see `policy::Policy`.
+  std::size_t function_bytes() const { return policy_.function_bytes(); }
+  std::size_t bytes_to_add(std::uint64_t function) const { return policy_.bytes_to_add(function); }
 
  private:
   struct Timer {
