Hosts: answers received in part are bounded by the memory budget

Cause: one connection to a host may buffer an answer of 1 MB, and there are up to 341 connections: hosts could make an invoker of 32 MB hold over 341 MB. Attempts that wait for their connection hold a second copy of their body, counted nowhere.

Change: LineParser asks before it grows a body, by the bytes that have come, not by the length that is claimed. If refused, the connection ends (hosts.no_memory): its attempts end as ones that may have run, so calls get their answer as after any lost connection.

--- a/src/hosts/connection.cpp
+++ b/src/hosts/connection.cpp
@@ -37,6 +37,7 @@
       limits_(limits),
       observer_(observer),
       host_(std::move(host)),
+      parser_([this](std::size_t held, std::size_t more) { return observer_.may_buffer(held, more); }),
       decoder_(limits.report_fields),
       history_(limits.duplicate_window),
       attempts_(*this),
@@ -67,6 +68,7 @@
 void Connection::exec(const core::Attempt& attempt, const core::Call& call, Millis timeout) {
   history_.reuse(call.ref);
   attempts_.add(attempt, call, loop().now(), timeout);
+  report_buffered_bytes();
   update_idle_timer();
   monitor_.watch();
 }
@@ -75,6 +77,7 @@
   const auto ref = attempts_.ref_of(attempt);
   if (!ref) return false;
   const auto cancelled = attempts_.remove(*ref);
+  report_buffered_bytes();
   if (!cancelled->message.written) return false;
   const Millis now = loop().now();
   // A host that is unreachable stays silent. Later requests use a new connection, which shows whether the
@@ -142,6 +145,7 @@
   const auto may_write = [this](Millis added_at) { return observer_.may_still_write(added_at); };
   requests_.connected(may_write);
   const auto stopped = attempts_.connected(now, may_write);
+  report_buffered_bytes();
   update_idle_timer();
   for (const auto& open : stopped) {
     observer_.on_attempt_ended(open.attempt, {Outcome::not_sent, 0, std::nullopt, {}});
@@ -152,6 +156,7 @@
   suspect_ = false;
   std::vector<Reply> replies;
   bool well_formed = parser_.take(bytes, replies);
+  report_buffered_bytes();
   monitor_.liveness().received(loop().now(), parser_.has_partial_reply(), !replies.empty());
   for (auto& reply : replies) {
     if (ending()) return;
@@ -160,7 +165,7 @@
     break;
   }
   if (!well_formed) {
-    counters_.add(core::Counter::hosts_malformed);
+    counters_.add(parser_.memory_refused() ? core::Counter::hosts_no_memory : core::Counter::hosts_malformed);
     end_later();
   }
   update_idle_timer();
@@ -234,6 +239,14 @@
   idle_timer_ = loop().at(loop().now() + idle, [this] { end_later(); });
 }
 
+void Connection::report_buffered_bytes() {
+  const std::size_t bytes = parser_.buffered_bytes() + attempts_.waiting_bytes();
+  const std::size_t before = std::exchange(reported_buffered_bytes_, bytes);
+  if (bytes != before) {
+    observer_.on_buffered_changed(static_cast<std::ptrdiff_t>(bytes) - static_cast<std::ptrdiff_t>(before));
+  }
+}
+
 void Connection::backlog_discarded() { counters_.add(core::Counter::hosts_unread_closed); }
 
 // Only a close or a reset by the host indicates that its process may have died. A network failure, a silent
@@ -249,6 +262,8 @@
   cancel_timers();
   const auto attempts = attempts_.remove_all();
   const auto requests = requests_.remove_all();
+  parser_ = LineParser();
+  report_buffered_bytes();
   observer_.on_connection_closed(*this);  // this object stays alive until the end of the turn
   if (!monitor_.liveness().ever_connected()) counters_.add(core::Counter::hosts_links_refused);
   for (const auto& open : attempts) {
--- a/src/hosts/connection.h
+++ b/src/hosts/connection.h
@@ -1,6 +1,7 @@
 /// A connection to one process of a host.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -21,8 +22,8 @@
 
 class Connection;
 
-/// Receives the events of a connection. All methods except `take_load_budget` and `may_still_write` are
-/// called from the event loop, never from inside a method of the connection.
+/// Receives the events of a connection. All methods except the last four are called from the event loop,
+/// never from inside a method of the connection.
 class ConnectionObserver {
  public:
   ConnectionObserver() = default;
@@ -44,6 +45,10 @@
   /// Whether an attempt or load order that was queued at `added_at` for its connection to be established may
   /// still be written.
   virtual bool may_still_write(Millis added_at) = 0;
+  /// Whether a connection that holds `held` bytes of an incomplete answer may receive `more` of it.
+  virtual bool may_buffer(std::size_t held, std::size_t more) = 0;
+  /// The memory of incomplete answers and waiting attempts has changed by `change` bytes.
+  virtual void on_buffered_changed(std::ptrdiff_t change) = 0;
 };
 
 /// A connection to one process of a host: carries attempts, load orders and probes, and ends itself if the
@@ -119,6 +124,7 @@
   bool suspect_ = false;   // accepts nothing until bytes arrive, as the host was silent before a cancel
   net::Loop::TimerId idle_timer_{};  // the connect time-out while connecting
   net::Loop::TimerId drain_timer_{};
+  std::size_t reported_buffered_bytes_ = 0;  // as last passed to the observer
 
   void connected() override;
   void received(std::string_view bytes) override;
@@ -137,6 +143,7 @@
   core::Outcome outcome_at_end(const SentMessage& message) const;
   void cancel_timers();
   void update_idle_timer();
+  void report_buffered_bytes();
 };
 
 }  // namespace pathstack::hosts
--- a/src/hosts/connection_pool.cpp
+++ b/src/hosts/connection_pool.cpp
@@ -11,6 +11,14 @@
 using core::Outcome;
 using core::WorkerState;
 
+namespace {
+
+// Estimated memory in bytes: of a host in all parts of the program, and of a connection without what it
+// buffers.
+constexpr std::size_t kHostBytes = 1800, kConnectionBytes = 4096;
+
+}  // namespace
+
 ConnectionPool::ConnectionPool(net::Loop& loop, net::BufferPool& pool, core::Counters& counters,
                                Limits limits)
     : loop_(loop), pool_(pool), counters_(counters), limits_(std::move(limits)) {
@@ -212,6 +220,17 @@
 
 bool ConnectionPool::take_load_budget() { return dispatcher_->take_load_budget(); }
 
+void ConnectionPool::set_memory_budget(core::MemoryBudget& budget) {
+  memory_ = &budget;
+  budget.track(core::MemoryOwner::host_answers, [this] { return buffered_bytes_; });
+  budget.track(core::MemoryOwner::hosts,
+               [this] { return hosts_.size() * kHostBytes + connections_ * kConnectionBytes; });
+}
+
+bool ConnectionPool::may_buffer(std::size_t held, std::size_t more) {
+  return memory_ == nullptr || memory_->admits_answer(held, more);
+}
+
 // The decision module uses leases that end within the drain grace. A message that is queued much longer could
 // be sent after a drain that counts as delivered.
 bool ConnectionPool::may_still_write(Millis added_at) {
--- a/src/hosts/connection_pool.h
+++ b/src/hosts/connection_pool.h
@@ -14,6 +14,7 @@
 #include "core/counters.h"
 #include "core/dispatcher.h"
 #include "core/member.h"
+#include "core/memory_budget.h"
 #include "hosts/connection.h"
 #include "hosts/limits.h"
 #include "hosts/local_fault_backoff.h"
@@ -49,6 +50,10 @@
   /// are no longer written. The list is always current if this method is never called.
   void list_lease(Millis until) { list_current_until_ = until; }
 
+  /// Receives answers only while `budget`, which must outlive this object, admits them, and reports to it
+  /// what hosts hold. Without a budget, memory is not limited.
+  void set_memory_budget(core::MemoryBudget& budget);
+
   /// The observer of all connections.
   ConnectionObserver& observer() { return *this; }
 
@@ -92,6 +97,8 @@
   std::uint64_t last_tag_ = 0;
   LocalFaultBackoff local_fault_backoff_;
   Millis list_current_until_{std::numeric_limits<double>::infinity()};
+  const core::MemoryBudget* memory_ = nullptr;
+  std::size_t buffered_bytes_ = 0;  // of all connections, see `ConnectionObserver`
 
   void on_attempt_ended(const core::Attempt& attempt, core::AttemptEnd&& end) override;
   void on_load_ended(core::LoadOutcome&& end) override;
@@ -99,6 +106,8 @@
   void on_connection_closed(Connection& connection) override;
   bool take_load_budget() override;
   bool may_still_write(Millis added_at) override;
+  bool may_buffer(std::size_t held, std::size_t more) override;
+  void on_buffered_changed(std::ptrdiff_t change) override { buffered_bytes_ += change; }
 
   void update_member(const core::Member& member);
   void mark_others_replaced(const std::string& address, const std::string& id);
--- a/src/hosts/line_parser.cpp
+++ b/src/hosts/line_parser.cpp
@@ -1,6 +1,7 @@
 #include "hosts/line_parser.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "net/fields.h"
 
@@ -43,7 +44,7 @@
 }
 
 bool LineParser::take(std::string_view bytes, std::vector<Reply>& out) {
-  while (!bytes.empty() && state_ != State::malformed) {
+  while (!bytes.empty() && !has_failed()) {
     if (state_ == State::line) {
       take_line(bytes, out);
     } else if (body_left_ > 0) {
@@ -52,7 +53,7 @@
       take_line_end(bytes, out);
     }
   }
-  return state_ != State::malformed;
+  return !has_failed();
 }
 
 void LineParser::take_line(std::string_view& bytes, std::vector<Reply>& out) {
@@ -74,11 +75,27 @@
 
 void LineParser::take_body(std::string_view& bytes) {
   const std::size_t part = std::min(body_left_, bytes.size());
+  if (!grow_body(part)) {
+    state_ = State::memory_refused;
+    reply_ = Reply();
+    return;
+  }
   reply_.body->append(bytes.substr(0, part));
   bytes.remove_prefix(part);
   body_left_ -= part;
 }
 
+// Makes room for `part` bytes; doubles the room if more are to follow. Returns false if memory is refused.
+bool LineParser::grow_body(std::size_t part) {
+  std::string& body = *reply_.body;
+  const std::size_t needed = body.size() + part;
+  if (needed <= body.capacity()) return true;
+  const std::size_t room = std::min(body.size() + body_left_, std::max(needed, 2 * body.capacity()));
+  if (admit_ && !admit_(body.capacity(), room)) return false;  // the old room is held until the move
+  body.reserve(room);
+  return true;
+}
+
 void LineParser::take_line_end(std::string_view& bytes, std::vector<Reply>& out) {
   if (bytes.front() != kLineEnd[line_end_received_]) {
     state_ = State::malformed;
@@ -86,7 +103,7 @@
   }
   bytes.remove_prefix(1);
   if (++line_end_received_ < kLineEnd.size()) return;
-  out.push_back(std::move(reply_));
+  out.push_back(std::exchange(reply_, {}));
   state_ = State::line;
 }
 
--- a/src/hosts/open_attempts.cpp
+++ b/src/hosts/open_attempts.cpp
@@ -20,6 +20,7 @@
   open.added_at = now;
   last_timeout_ = timeout;
   if (stream_.connecting()) {
+    waiting_bytes_ += request.body.size();
     waiting_.push_back({std::move(request), now + timeout});
   } else {
     write(request, now, timeout, open);
@@ -28,8 +29,8 @@
 }
 
 std::vector<OpenAttempt> OpenAttempts::connected(Millis now, const MayWrite& may_write) {
-  const auto waiting = std::move(waiting_);
-  waiting_.clear();
+  const auto waiting = std::exchange(waiting_, {});
+  waiting_bytes_ = 0;
   std::vector<OpenAttempt> stopped;
   for (const auto& [request, expires_at] : waiting) {
     OpenAttempt& open = by_ref_.at(request.ref);
@@ -65,7 +66,10 @@
   by_ref_.erase(found);
   if (!open.message.written) {
     const auto has_ref = [&](const Waiting& waiting) { return waiting.request.ref == ref; };
-    waiting_.erase(std::remove_if(waiting_.begin(), waiting_.end(), has_ref), waiting_.end());
+    const auto waiting = std::find_if(waiting_.begin(), waiting_.end(), has_ref);
+    if (waiting == waiting_.end()) return open;
+    waiting_bytes_ -= waiting->request.body.size();
+    waiting_.erase(waiting);
   }
   return open;
 }
@@ -75,6 +79,7 @@
   for (const auto& [ref, open] : by_ref_) all.push_back(open);
   by_ref_.clear();
   waiting_.clear();
+  waiting_bytes_ = 0;
   return all;
 }
 
--- a/src/hosts/open_attempts.h
+++ b/src/hosts/open_attempts.h
@@ -42,6 +42,8 @@
 
   std::size_t size() const { return by_ref_.size(); }
   bool contains(const std::string& ref) const { return by_ref_.count(ref) != 0; }
+  /// The memory of the bodies that wait for the connection to be established, in bytes.
+  std::size_t waiting_bytes() const { return waiting_bytes_; }
   /// The time-out of the most recently added attempt.
   Millis last_timeout() const { return last_timeout_; }
 
@@ -74,7 +76,8 @@
   };
   net::Stream& stream_;
   std::map<std::string, OpenAttempt> by_ref_;
-  std::deque<Waiting> waiting_;  // oldest first
+  std::deque<Waiting> waiting_;    // oldest first
+  std::size_t waiting_bytes_ = 0;  // of the bodies in `waiting_`
   Millis last_timeout_{0};
 
   void write(const ExecRequest& request, Millis now, Millis timeout, OpenAttempt& open);
--- a/tests/invoker/host_faults_test.cpp
+++ b/tests/invoker/host_faults_test.cpp
@@ -65,7 +65,10 @@
   void on_connection_closed(hosts::Connection&) override { closed = true; }
   bool take_load_budget() override { return true; }
   bool may_still_write(Millis) override { return may_write_after_waiting; }
-  bool may_write_after_waiting = true;
+  bool may_buffer(std::size_t, std::size_t) override { return may_buffer_answers; }
+  void on_buffered_changed(std::ptrdiff_t change) override { buffered_bytes += change; }
+  bool may_write_after_waiting = true, may_buffer_answers = true;
+  std::ptrdiff_t buffered_bytes = 0;
 };
 
 // Guards against local connect faults that make the decision module suspect or eject the host.
