Broker: calls and kept answers are bounded by the memory budget

Cause: open calls from the broker were bounded by number alone, kept answers by amqp.remembered_mb (16 MB by default, half of the smallest memory limit), answers that wait for their confirm not at all.

Change: a call that does not fit is refused at once (amqp.no_memory); kept answers, bodies of open calls and unconfirmed answers count in the budget.

--- a/src/amqp/front.cpp
+++ b/src/amqp/front.cpp
@@ -43,6 +43,17 @@
 
 Front::~Front() { loop_.cancel(reconnect_timer_); }
 
+void Front::set_memory_budget(core::MemoryBudget& budget) {
+  memory_ = &budget;
+  budget.track(core::MemoryOwner::broker,
+               [this] { return running_bytes_ + cache_.completed_bytes() + replies_.held_bytes(); });
+}
+
+bool Front::has_memory_for(const core::Call& call) const {
+  // The broker is no single peer: its calls come from many clients, and `Limits::open_calls` bounds them.
+  return memory_ == nullptr || memory_->admits_work(0, dispatcher_.bytes_to_take(call));
+}
+
 void Front::connect() {
   net::Socket socket = net::connect_to(broker_.address);
   if (!socket) return on_channel_down();
@@ -136,6 +147,10 @@
                                   core::Counter::amqp_too_many_open);
   }
   decoded->call.body = std::move(delivery.body);
+  if (!has_memory_for(decoded->call)) {
+    return answer_without_running(request, decoded->at_most_once, CallStatus::refused,
+                                  core::Counter::amqp_no_memory);
+  }
   dispatch(request, std::move(decoded->call), decoded->at_most_once);
 }
 
@@ -144,7 +159,9 @@
   call.ref = net::hex16(++last_ref_);
   cache_.start(request.key, at_most_once).pending.push_back(request.reply);
   const core::CallId id = dispatcher_.next_id();
-  running_[id] = request.key;
+  const std::size_t bytes = core::Dispatcher::bytes_of(call);
+  running_[id] = {request.key, bytes};
+  running_bytes_ += bytes;
   const bool accepted = dispatcher_.take(id, std::move(call), *this);
   if (!accepted) answer(id, core::Answer());
 }
@@ -160,7 +177,8 @@
 void Front::answer(core::CallId call, core::Answer&& answer) {
   const auto found = running_.find(call);
   if (found == running_.end()) return;
-  const CallKey key = found->second;
+  const CallKey key = found->second.key;
+  running_bytes_ -= found->second.bytes;
   running_.erase(found);
   CachedCall* cached = cache_.find(key);
   if (cached == nullptr) return;
--- a/src/amqp/front.h
+++ b/src/amqp/front.h
@@ -13,6 +13,7 @@
 #include "amqp/reply_publisher.h"
 #include "core/counters.h"
 #include "core/dispatcher.h"
+#include "core/memory_budget.h"
 #include "net/loop.h"
 
 namespace pathstack::amqp {
@@ -42,6 +43,10 @@
   Front(const Front&) = delete;
   Front& operator=(const Front&) = delete;
 
+  /// Takes calls only while `budget`, which must outlive the front, admits them, and reports to it what the
+  /// broker's calls hold. Without a budget, memory is not limited.
+  void set_memory_budget(core::MemoryBudget& budget);
+
   /// Connects, and reconnects with exponential backoff from then on.
   void start() { connect(); }
 
@@ -66,6 +71,12 @@
     bool redelivered = false;
   };
 
+  /// An open call, and the memory that it holds in bytes.
+  struct RunningCall {
+    CallKey key;
+    std::size_t bytes = 0;
+  };
+
   net::Loop& loop_;
   net::BufferPool& pool_;
   core::Dispatcher& dispatcher_;
@@ -76,7 +87,9 @@
   IdempotencyCache cache_;
   ReplyPublisher replies_;
   std::shared_ptr<Channel> channel_;
-  std::unordered_map<core::CallId, CallKey> running_;
+  std::unordered_map<core::CallId, RunningCall> running_;
+  std::size_t running_bytes_ = 0;  // held by the calls in `running_`
+  const core::MemoryBudget* memory_ = nullptr;
   net::Loop::TimerId reconnect_timer_{};
   core::Millis reconnect_delay_{0};
   std::uint64_t last_ref_ = 0;
@@ -91,6 +104,7 @@
   bool answer_duplicate(const Request& request);
   void start_call(const Request& request, Delivery&& delivery);
   void dispatch(const Request& request, core::Call&& call, bool at_most_once);
+  bool has_memory_for(const core::Call& call) const;
   void answer_without_running(const Request& request, bool at_most_once, core::CallStatus status,
                               core::Counter reason);
 };
--- a/src/amqp/idempotency_cache.h
+++ b/src/amqp/idempotency_cache.h
@@ -70,6 +70,9 @@
   /// number of entries.
   void drop_pending();
 
+  /// The estimated size of the completed calls, in bytes.
+  std::size_t completed_bytes() const { return bytes_; }
+
   /// The number of calls, running and completed.
   std::size_t size() const { return entries_.size(); }
 
--- a/src/amqp/reply_publisher.cpp
+++ b/src/amqp/reply_publisher.cpp
@@ -20,6 +20,7 @@
   channel_ = nullptr;
   unconfirmed_.clear();
   unsent_.clear();
+  held_bytes_ = 0;
 }
 
 void ReplyPublisher::reply(const CallKey& key, const PendingReply& delivery, bool redelivered) {
@@ -53,21 +54,25 @@
 }
 
 void ReplyPublisher::publish(OutgoingReply&& outgoing) {
-  if (!channel_->may_publish()) {
-    unsent_.push_back(std::move(outgoing));
-    return;
-  }
+  if (!channel_->may_publish()) return keep_unsent(std::move(outgoing));
   const BasicProperties properties = encode_answer(*outgoing.answer, outgoing.key, outgoing.address);
   const PublishSequence sequence =
       channel_->publish(outgoing.address.reply_to, properties, outgoing.answer->body);
+  held_bytes_ += outgoing.answer->body.size();
   unconfirmed_.emplace(sequence, std::move(outgoing));
 }
 
+void ReplyPublisher::keep_unsent(OutgoingReply&& outgoing) {
+  held_bytes_ += outgoing.answer->body.size();
+  unsent_.push_back(std::move(outgoing));
+}
+
 void ReplyPublisher::publish_unsent() {
   for (std::size_t left = unsent_.size(); left > 0; --left) {
     if (channel_ == nullptr || !channel_->may_publish()) return;
     OutgoingReply next = std::move(unsent_.front());
     unsent_.pop_front();
+    held_bytes_ -= next.answer->body.size();
     publish(std::move(next));
   }
 }
@@ -93,7 +98,10 @@
     last = unconfirmed_.upper_bound(confirm.sequence);
   }
   std::vector<OutgoingReply> settled;
-  for (auto i = first; i != last; ++i) settled.push_back(std::move(i->second));
+  for (auto i = first; i != last; ++i) {
+    held_bytes_ -= i->second.answer->body.size();
+    settled.push_back(std::move(i->second));
+  }
   unconfirmed_.erase(first, last);
   return settled;
 }
@@ -108,7 +116,7 @@
 
 void ReplyPublisher::on_nacked(OutgoingReply&& outgoing) {
   counters_.add(core::Counter::amqp_nacked);
-  unsent_.push_back(std::move(outgoing));
+  keep_unsent(std::move(outgoing));
   loop_.cancel(republish_timer_);
   republish_timer_ = loop_.at(loop_.now() + kRepublishDelay, [this] { publish_unsent(); });
 }
--- a/src/amqp/reply_publisher.h
+++ b/src/amqp/reply_publisher.h
@@ -48,6 +48,9 @@
   /// Publishes queued answers while the channel permits publishing.
   void publish_unsent();
 
+  /// The size of the bodies of all answers that are queued or unconfirmed, in bytes.
+  std::size_t held_bytes() const { return held_bytes_; }
+
   /// True while answers are queued for publishing.
   bool has_unsent() const { return !unsent_.empty(); }
 
@@ -68,11 +71,13 @@
   Channel* channel_ = nullptr;
   std::map<PublishSequence, OutgoingReply> unconfirmed_;
   std::deque<OutgoingReply> unsent_;  // nacked, or queued while the channel is paused
+  std::size_t held_bytes_ = 0;        // bodies in `unconfirmed_` and `unsent_`
   net::Loop::TimerId republish_timer_{};
 
   OutgoingReply* find_in_progress(const CallKey& key, const ReplyAddress& address,
                                   const std::shared_ptr<const core::Answer>& answer);
   void publish(OutgoingReply&& outgoing);
+  void keep_unsent(OutgoingReply&& outgoing);
   std::vector<OutgoingReply> take_settled(const PublisherConfirm& confirm);
   void on_acked(const OutgoingReply& outgoing);
   void on_nacked(OutgoingReply&& outgoing);
