Clients: requests in part, open calls and their entries share one memory budget

Cause, measured under a heap profiler at the peak (51 MB): bodies 23.3 MB, twice what was counted, as a string that grows by two reads has twice the room; requests read in part are among them and were not counted; functions 11.7 MB; entries of open calls in dispatcher and module about 8 MB; blocks for replies 2.7 MB, kept for good. Each owner had its own bound or none, and their sum was over the limit.

Change: a large word of a request is stored only if the budget admits it, with the room that it needs; otherwise it is read and left out, and the call is answered BUSY when complete, so no request loses its answer. A call is taken only if its body and entries fit. The buffer pool frees blocks that it does not need. A line of the membership log may take an eighth of the limit (a quarter before): its buffer doubles as it grows. Invoker wires all owners.

Why this works: all owners are in one sum (two fifths of the limit) that is asked before each growth; unwritten bytes have a quarter; the rest is for the program and the allocator.

--- a/src/app/invoker.cpp
+++ b/src/app/invoker.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cstdlib>
+#include <map>
 #include <stdexcept>
+#include <string>
 #include <utility>
 
 #include "app/part_settings.h"
@@ -46,10 +48,11 @@
       error_output_(STDERR_FILENO, counters_),
       event_log_([this] { return loop_.now(); },
                  [this](const std::string& line) { output_.write_line(line); }, counters_),
-      buffers_(memory_quarter(config_) / net::BufferPool::kBlockSize),
+      memory_(peer_memory(config_), client_limits(config_).max_active),
+      buffers_(max_output_blocks(config_)),
       connection_pool_(loop_, buffers_, counters_, host_limits(config_)),
       dispatcher_(
-          config_.settings, [this] { return loop_.now(); }, connection_pool_, counters_),
+          module_settings(config_), [this] { return loop_.now(); }, connection_pool_, counters_),
       shutdown_(longest_deadline(config_.settings)),
       resp_front_(loop_, buffers_, dispatcher_, counters_, client_limits(config_)),
       reloader_(
@@ -57,6 +60,7 @@
           [this](const std::string& fault, bool last) { report_reload_fault(fault, last); }) {
   connection_pool_.attach(dispatcher_);
   dispatcher_.set_event_log(event_log_);
+  start_memory_budget();
   start_membership();
   start_listening();
   if (terminated_at_start_) return;
@@ -104,6 +108,17 @@
   return sequence;
 }
 
+void Invoker::start_memory_budget() {
+  using core::MemoryOwner;
+  resp_front_.set_memory_budget(memory_);
+  connection_pool_.set_memory_budget(memory_);
+  memory_.track(MemoryOwner::call_history, [this] { return dispatcher_.history_bytes(); });
+  memory_.track(MemoryOwner::functions, [this] { return dispatcher_.function_bytes(); });
+  memory_.track(MemoryOwner::membership,
+                [this] { return membership_client_ ? membership_client_->buffered_bytes() : 0; });
+  memory_.track(MemoryOwner::output, [this] { return buffers_.bytes(); });
+}
+
 void Invoker::start_membership() {
   const feed::EventSequence known = apply_known_events();
   const auto on_update = [this](const core::MemberList& list) {
@@ -111,7 +126,7 @@
   };
   if (!config_.xds) {
     membership_client_.emplace(loop_, buffers_, counters_, config_.changelog, known, on_update,
-                               memory_quarter(config_), config_.seed);
+                               max_membership_line(config_), config_.seed);
     membership_client_->log_to(event_log_);
     membership_client_->observe_lease([this](const feed::ListLease& lease) { update_list_lease(lease); });
     membership_client_->start();
@@ -156,7 +171,8 @@
 void Invoker::start_amqp() {
   if (!config_.amqp) return;
   amqp_front_.emplace(loop_, buffers_, dispatcher_, counters_, config_.settings,
-                      broker_settings(*config_.amqp), amqp_limits(*config_.amqp));
+                      broker_settings(*config_.amqp), amqp_limits(config_));
+  amqp_front_->set_memory_budget(memory_);
   amqp_front_->start();
   log_event("consuming AMQP deliveries from " + config_.amqp->broker);
 }
@@ -243,7 +259,9 @@
 
 void Invoker::log_status() {
   next_status_ = loop_.now() + kStatusInterval;
-  const std::string line = counters_.status(dispatcher_.module_statistics());
+  std::map<std::string, double> statistics = dispatcher_.module_statistics();
+  statistics.merge(memory_.statistics());
+  const std::string line = counters_.status(statistics);
   if (!line.empty()) output_.write_line(line);
 }
 
--- a/src/app/invoker.h
+++ b/src/app/invoker.h
@@ -13,6 +13,7 @@
 #include "core/dispatcher.h"
 #include "core/event_log.h"
 #include "core/log_writer.h"
+#include "core/memory_budget.h"
 #include "core/shutdown.h"
 #include "feed/membership_client.h"
 #include "hosts/connection_pool.h"
@@ -45,6 +46,7 @@
   core::Counters counters_;
   core::LogWriter output_, error_output_;
   core::EventLog event_log_;
+  core::MemoryBudget memory_;
   net::BufferPool buffers_;
   hosts::ConnectionPool connection_pool_;
   core::Dispatcher dispatcher_;
@@ -62,6 +64,8 @@
   /// Applies the known events of the configuration; returns the position from which the membership log has to
   /// continue.
   feed::EventSequence apply_known_events();
+  /// Makes all parts report what they hold for peers, and ask before they hold more.
+  void start_memory_budget();
   void start_membership();
   /// Opens the listener. Retries transient errors for 5 s; throws config::ConfigError for all others.
   void start_listening();
--- a/src/app/part_settings.cpp
+++ b/src/app/part_settings.cpp
@@ -7,16 +7,34 @@
 namespace {
 
 constexpr std::size_t kOwnDescriptors = 20;  // standard streams, listener, membership log and so on
-constexpr std::size_t kMemoryParts = 4;
 constexpr std::size_t kDescriptorParts = 3;
+// Shares of the memory limit: one part in so many.
+constexpr double kPeerMemoryParts = 2.5;
+constexpr std::size_t kOutputParts = 4, kMembershipLineParts = 8;
+// Shares of the memory for peers.
+constexpr std::size_t kFunctionParts = 8, kCachedAnswerParts = 4;
 
 std::size_t bytes_of_kb(std::size_t kb) { return kb << 10; }
 std::size_t bytes_of_mb(std::size_t mb) { return mb << 20; }
 
 }  // namespace
 
-std::size_t memory_quarter(const config::Config& config) {
-  return bytes_of_mb(config.memory_mb) / kMemoryParts;
+std::size_t peer_memory(const config::Config& config) {
+  return static_cast<std::size_t>(static_cast<double>(bytes_of_mb(config.memory_mb)) / kPeerMemoryParts);
+}
+
+std::size_t max_output_blocks(const config::Config& config) {
+  return bytes_of_mb(config.memory_mb) / kOutputParts / net::BufferPool::kBlockSize;
+}
+
+std::size_t max_membership_line(const config::Config& config) {
+  return bytes_of_mb(config.memory_mb) / kMembershipLineParts;
+}
+
+core::Settings module_settings(const config::Config& config) {
+  core::Settings settings = config.settings;
+  settings.max_function_bytes = peer_memory(config) / kFunctionParts;
+  return settings;
 }
 
 hosts::Limits host_limits(const config::Config& config) {
@@ -38,7 +56,6 @@
   limits.max_active = third;
   const std::size_t reserved = kOwnDescriptors + limits.max_closing;
   limits.max_pending = std::max<std::size_t>(third, reserved + kOwnDescriptors) - reserved;
-  limits.max_body_bytes = memory_quarter(config);
   return limits;
 }
 
@@ -55,8 +72,11 @@
   return broker;
 }
 
-amqp::Front::Limits amqp_limits(const config::AmqpConfig& config) {
-  return {config.open_calls, config.remembered, bytes_of_mb(config.remembered_mb)};
+amqp::Front::Limits amqp_limits(const config::Config& config) {
+  const config::AmqpConfig& amqp = *config.amqp;
+  const std::size_t cached_bytes =
+      std::min(bytes_of_mb(amqp.remembered_mb), peer_memory(config) / kCachedAnswerParts);
+  return {amqp.open_calls, amqp.remembered, cached_bytes};
 }
 
 core::Millis longest_deadline(const core::Settings& settings) {
--- a/src/app/part_settings.h
+++ b/src/app/part_settings.h
@@ -11,9 +11,18 @@
 
 namespace pathstack::app {
 
-/// A quarter of the memory limit, in bytes: the bound on unwritten bytes, on bodies of open calls, and on one
-/// line of the membership log, each.
-std::size_t memory_quarter(const config::Config& config);
+/// The bytes that peers may make the program hold in all, see `core::MemoryBudget`. The rest of the memory
+/// limit is for the program itself, what unwritten bytes take beyond it, and the overhead of the allocator.
+std::size_t peer_memory(const config::Config& config);
+
+/// The number of blocks of `net::BufferPool`, which bound the unwritten bytes of all connections.
+std::size_t max_output_blocks(const config::Config& config);
+
+/// The length of the longest line of the membership log that is read, in bytes.
+std::size_t max_membership_line(const config::Config& config);
+
+/// The settings of the decision module, with its share of the memory.
+core::Settings module_settings(const config::Config& config);
 
 /// Limits of the connections to hosts, which may use a third of the descriptors.
 hosts::Limits host_limits(const config::Config& config);
@@ -26,8 +35,9 @@
 /// Settings of the AMQP broker that calls are consumed from.
 amqp::BrokerSettings broker_settings(const config::AmqpConfig& config);
 
-/// Limits on the open calls and cached answers of the AMQP front.
-amqp::Front::Limits amqp_limits(const config::AmqpConfig& config);
+/// Limits on the open calls and cached answers of the AMQP front, which must be configured. The answers get a
+/// share of the memory for peers at most.
+amqp::Front::Limits amqp_limits(const config::Config& config);
 
 /// The longest deadline of any class of calls.
 core::Millis longest_deadline(const core::Settings& settings);
--- a/src/feed/line_splitter.h
+++ b/src/feed/line_splitter.h
@@ -21,6 +21,8 @@
   /// Appends the lines that `bytes` complete to `out`. Returns false if a line exceeds the limit; the rest of
   /// the stream cannot be parsed then. Cost: linear in the bytes.
   bool take(std::string_view bytes, std::vector<std::string>& out);
+  /// The memory of the incomplete line, in bytes.
+  std::size_t buffered_bytes() const { return line_.capacity(); }
 
  private:
   std::size_t max_line_bytes_;
--- a/src/feed/membership_client.h
+++ b/src/feed/membership_client.h
@@ -52,6 +52,9 @@
   /// Reports the initial lease and starts the first connection.
   void start();
 
+  /// The memory of the line received in part, in bytes.
+  std::size_t buffered_bytes() const { return connection_ ? connection_->buffered_bytes() : 0; }
+
   /// Switches to another address of the log, which continues the same sequence numbers. Closes the old
   /// connection at once: the old log reports nothing more, but may keep the connection open for a while and
   /// look healthy. No effect if the address is already in use.
--- a/src/feed/watch_connection.h
+++ b/src/feed/watch_connection.h
@@ -59,6 +59,9 @@
   WatchConnection(const WatchConnection&) = delete;
   WatchConnection& operator=(const WatchConnection&) = delete;
 
+  /// The memory of the line received in part, in bytes.
+  std::size_t buffered_bytes() const { return splitter_.buffered_bytes(); }
+
   /// Returns the reason for the end of the connection, for the event log.
   std::string_view end_reason() const;
 
--- a/src/net/buffer.cpp
+++ b/src/net/buffer.cpp
@@ -8,6 +8,11 @@
 #include "net/system_calls.h"
 
 namespace pathstack::net {
+namespace {
+
+constexpr std::size_t kMaxFreeBlocks = 16;  // kept for reuse
+
+}  // namespace
 
 BufferPool::Lease BufferPool::take(const Outbox& requester) {
   const ReturnToPool deleter{this};
@@ -26,6 +31,14 @@
   outboxes_.erase(std::remove(outboxes_.begin(), outboxes_.end(), &outbox), outboxes_.end());
 }
 
+void BufferPool::put_back(std::unique_ptr<Block> block) {
+  if (free_.size() < kMaxFreeBlocks) {
+    free_.push_back(std::move(block));
+  } else {
+    --allocated_;
+  }
+}
+
 bool BufferPool::discard_largest(const Outbox& requester) {
   const auto fewer = [](const Outbox* a, const Outbox* b) { return a->blocks() < b->blocks(); };
   const auto largest = std::max_element(outboxes_.begin(), outboxes_.end(), fewer);
--- a/src/net/buffer.h
+++ b/src/net/buffer.h
@@ -27,12 +27,12 @@
   /// Returns a block to its pool.
   struct ReturnToPool {
     BufferPool* pool;
-    void operator()(Block* block) const { pool->free_.emplace_back(block); }
+    void operator()(Block* block) const { pool->put_back(std::unique_ptr<Block>(block)); }
   };
   /// Owns a block; returns it to the pool on destruction.
   using Lease = std::unique_ptr<Block, ReturnToPool>;
 
-  /// Blocks are allocated on demand, at most `max_blocks`, and kept for reuse.
+  /// Blocks are allocated on demand, at most `max_blocks`. Some are kept for reuse, the others are freed.
   explicit BufferPool(std::size_t max_blocks) : max_blocks_(max_blocks) {}
 
   /// Allocates a block for `requester`; empty if all blocks are in use and no other outbox holds more blocks
@@ -41,6 +41,8 @@
 
   /// The number of blocks in use.
   std::size_t blocks_in_use() const { return allocated_ - free_.size(); }
+  /// The memory of all blocks, in bytes.
+  std::size_t bytes() const { return allocated_ * kBlockSize; }
 
  private:
   friend class Outbox;
@@ -50,6 +52,7 @@
 
   void add(Outbox& outbox) { outboxes_.push_back(&outbox); }
   void remove(Outbox& outbox);
+  void put_back(std::unique_ptr<Block> block);
   bool discard_largest(const Outbox& requester);
 };
 
--- a/src/resp/connection.cpp
+++ b/src/resp/connection.cpp
@@ -12,10 +12,11 @@
 
 // Drops calls whose cancellation was read together with them, and returns their number. Each would cause work
 // on a host, and a client can send hundreds of such calls at once.
-std::size_t drop_cancelled_calls(std::vector<Words>& requests,
+std::size_t drop_cancelled_calls(std::vector<Message>& requests,
                                  const std::unordered_map<std::string, core::CallId>& open_calls) {
   std::unordered_set<std::string> cancelled;
-  const auto is_cancelled = [&](const Words& words) {
+  const auto is_cancelled = [&](const Message& request) {
+    const Words& words = request.words;
     if (words.size() < 2) return false;
     if (words[0] == "CANCEL") cancelled.insert(words[1]);
     return words[0] == "CALL" && open_calls.count(words[1]) == 0 && cancelled.count(words[1]) != 0;
@@ -34,7 +35,8 @@
     : Stream(loop, pool, std::move(socket), false),
       counters_(counters),
       limits_(limits),
-      observer_(observer) {
+      observer_(observer),
+      parser_([this](std::size_t bytes) { return observer_.may_buffer(*this, bytes); }) {
   restart_request_timer();
 }
 
@@ -137,8 +139,9 @@
 
 void Connection::received(std::string_view bytes) {
   update_arrival_time();
-  std::vector<Words> requests;
+  std::vector<Message> requests;
   const bool well_formed = parser_.take(bytes, requests);
+  report_buffered_bytes(parser_.buffered_bytes());
   const bool request_complete = !requests.empty();
   if (request_complete) {
     has_sent_request_ = true;
@@ -147,17 +150,25 @@
   update_request_timer(request_complete);
   const std::size_t dropped = drop_cancelled_calls(requests, open_calls_);
   if (dropped > 0) counters_.add(core::Counter::resp_taken_back, dropped);
-  for (auto& words : requests) {
+  for (auto& request : requests) {
     if (rejected_ || ending()) return;  // requests after a protocol error are ignored
-    observer_.on_request(*this, std::move(words));
+    observer_.on_request(*this, std::move(request));
   }
   if (well_formed) return;
   counters_.add(core::Counter::resp_malformed);
   reject_input();
 }
 
+void Connection::report_buffered_bytes(std::size_t bytes) {
+  const std::size_t before = std::exchange(reported_buffered_bytes_, bytes);
+  if (bytes != before) {
+    observer_.on_buffered_changed(static_cast<std::ptrdiff_t>(bytes) - static_cast<std::ptrdiff_t>(before));
+  }
+}
+
 void Connection::ended() {
   loop().cancel(request_timer_);
+  report_buffered_bytes(0);
   observer_.on_closed(*this);
 }
 
--- a/src/resp/connection.h
+++ b/src/resp/connection.h
@@ -1,6 +1,7 @@
 /// The connection of one client.
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <list>
 #include <memory>
@@ -31,9 +32,13 @@
   /// `on_refused` is called next in that case.
   virtual bool on_requests_read(Connection& connection) = 0;
   /// Called with requests that must not be processed. The observer replies to them and ends the connection.
-  virtual void on_refused(Connection& connection, const std::vector<Words>& requests) = 0;
+  virtual void on_refused(Connection& connection, const std::vector<Message>& requests) = 0;
   /// Called for each request, in the order in which they were received.
-  virtual void on_request(Connection& connection, Words&& words) = 0;
+  virtual void on_request(Connection& connection, Message&& request) = 0;
+  /// Returns true if the connection may buffer `bytes` more of a request.
+  virtual bool may_buffer(const Connection& connection, std::size_t bytes) = 0;
+  /// Called when the memory of requests received in part has changed by `change` bytes.
+  virtual void on_buffered_changed(std::ptrdiff_t change) = 0;
   /// Called if calls are still open `Limits::rejected_timeout` after the input of the connection was
   /// rejected.
   virtual void on_answers_overdue(Connection& connection) = 0;
@@ -72,9 +77,18 @@
   /// have been waiting, or else the start of the turn. Time that the turn spent on earlier input counts, too.
   core::Millis arrival_of_input() const { return waiting_since_.value_or(loop().turn_began()); }
 
-  /// Registers the tag of an open call, which must not be registered.
-  void add_call(const std::string& tag, core::CallId call) { open_calls_[tag] = call; }
-  void remove_call(const std::string& tag) { open_calls_.erase(tag); }
+  /// Registers the tag of an open call, which must not be registered. `bytes`: the memory that the call
+  /// holds.
+  void add_call(const std::string& tag, core::CallId call, std::size_t bytes) {
+    open_calls_[tag] = call;
+    call_bytes_ += bytes;
+  }
+  void remove_call(const std::string& tag, std::size_t bytes) {
+    open_calls_.erase(tag);
+    call_bytes_ -= bytes;
+  }
+  /// The memory that the open calls of the client and its request received in part hold, in bytes.
+  std::size_t held_bytes() const { return call_bytes_ + parser_.buffered_bytes(); }
   /// The open call with the tag. Empty if there is none.
   std::optional<core::CallId> find_call(const std::string& tag) const;
   std::size_t open_calls() const { return open_calls_.size(); }
@@ -103,6 +117,8 @@
   ConnectionObserver& observer_;
   Parser parser_;
   std::unordered_map<std::string, core::CallId> open_calls_;  // by tag
+  std::size_t call_bytes_ = 0;                                // held by the open calls
+  std::size_t reported_buffered_bytes_ = 0;                   // as last passed to the observer
   net::Loop::TimerId request_timer_{};
   bool awaits_request_ = true;     // no request yet, or the current one is incomplete
   bool request_overdue_ = false;   // the current request was not complete in time
@@ -120,6 +136,7 @@
   void update_request_timer(bool request_complete);
   void on_request_overdue();
   void update_arrival_time();
+  void report_buffered_bytes(std::size_t bytes);
   void backlog_discarded() override;
   void received(std::string_view bytes) override;
   void ended() override;
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -17,6 +17,9 @@
   return core::Counter::resp_bad_fields;
 }
 
+// Estimated memory of a connection without its open calls and large words, in bytes.
+constexpr std::size_t kConnectionBytes = 2048;
+
 std::string encode_status(const std::string& tag, core::CallStatus status) {
   return encode_answer(tag, {status, core::Millis(0), {}});
 }
@@ -33,6 +36,15 @@
       listener_(loop, counters, *this),
       connections_(counters, limits_) {}
 
+void Front::set_memory_budget(core::MemoryBudget& budget) {
+  memory_ = &budget;
+  budget.track(core::MemoryOwner::calls, [this] { return calls_.bytes(); });
+  // All connections count from the start, so that new ones do not take what was free for open ones.
+  const std::size_t connections = limits_.max_active + limits_.max_pending + limits_.max_closing;
+  budget.track(core::MemoryOwner::clients,
+               [this, connections] { return connections * kConnectionBytes + buffered_bytes_; });
+}
+
 bool Front::listen(const std::string& address) {
   listen_error_ = listener_.listen(address);
   return !listen_error_;
@@ -58,9 +70,10 @@
 
 // Refuses the calls of a connection beyond the limit, replies to its health checks, and ends it. Nothing is
 // passed to the dispatcher.
-void Front::on_refused(Connection& connection, const std::vector<Words>& requests) {
+void Front::on_refused(Connection& connection, const std::vector<Message>& requests) {
   counters_.add(core::Counter::resp_no_place);
-  for (const auto& words : requests) {
+  for (const auto& request : requests) {
+    const Words& words = request.words;
     if (words.size() < 2) continue;
     const std::string& tag = words[1];
     if (words[0] == "CALL") connection.reply(encode_status(tag, core::CallStatus::refused));
@@ -69,7 +82,8 @@
   connection.reject_input();
 }
 
-void Front::on_request(Connection& connection, Words&& words) {
+void Front::on_request(Connection& connection, Message&& request) {
+  const Words& words = request.words;
   const auto decoded = decode_header(words);
   if (const auto* const error = std::get_if<RequestError>(&decoded)) {
     counters_.add(counter_of(*error));
@@ -78,12 +92,16 @@
   }
   const auto& header = std::get<RequestHeader>(decoded);
   switch (header.kind) {
-    case RequestKind::call: return begin_call(connection, header.tag, std::move(words));
+    case RequestKind::call: return begin_call(connection, header.tag, std::move(request));
     case RequestKind::cancel: return cancel_call(connection, header.tag);
     case RequestKind::check: return reply_health(connection, header.tag);
   }
 }
 
+bool Front::may_buffer(const Connection& connection, std::size_t bytes) {
+  return memory_ == nullptr || memory_->admits_work(connection.held_bytes(), bytes);
+}
+
 void Front::on_answers_overdue(Connection& connection) {
   for (const auto id : connection.open_call_ids()) fail_open_call(id);
   connection.on_all_answered();
@@ -100,7 +118,7 @@
   listener_.resume();
 }
 
-void Front::begin_call(Connection& connection, const std::string& tag, Words&& words) {
+void Front::begin_call(Connection& connection, const std::string& tag, Message&& request) {
   if (const auto open = connection.find_call(tag)) {
     counters_.add(core::Counter::resp_tag_repeated);
     // The client could take the answer to one of the two calls for the answer to the other, so neither may be
@@ -111,20 +129,23 @@
   if (connection.open_calls() >= limits_.max_calls_per_connection) {
     return reject_call(connection, tag, core::Counter::resp_too_many_open, core::CallStatus::refused);
   }
-  auto decoded = decode_call(words);
+  if (request.memory_refused) {
+    return reject_call(connection, tag, core::Counter::resp_no_memory, core::CallStatus::refused);
+  }
+  auto decoded = decode_call(request.words);
   if (const auto* const error = std::get_if<RequestError>(&decoded)) {
     return reject_call(connection, tag, counter_of(*error));
   }
   auto& call = std::get<core::Call>(decoded);
-  const std::size_t body_bytes = call.body.size();
-  // Bounds memory, however many connections a client opens.
-  if (calls_.body_bytes() + body_bytes > limits_.max_body_bytes) {
+  const std::size_t bytes = core::Dispatcher::bytes_of(call);
+  const std::size_t added = dispatcher_.bytes_to_take(call);
+  if (memory_ != nullptr && !memory_->admits_work(connection.held_bytes(), added)) {
     return reject_call(connection, tag, core::Counter::resp_no_memory, core::CallStatus::refused);
   }
   call.arrived = connection.arrival_of_input();
 
   const core::CallId id = dispatcher_.next_id();
-  calls_.add(id, {&connection, tag, body_bytes});
+  calls_.add(id, {&connection, tag, bytes});
   if (dispatcher_.take(id, std::move(call), *this)) return;
   calls_.remove(id);
   reject_call(connection, tag, core::Counter::resp_not_taken);
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -1,6 +1,7 @@
 /// The RESP front: serves clients that send CALL, CANCEL and CHECK requests over RESP.
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <system_error>
@@ -8,6 +9,7 @@
 
 #include "core/counters.h"
 #include "core/dispatcher.h"
+#include "core/memory_budget.h"
 #include "net/loop.h"
 #include "net/socket.h"
 #include "resp/call_table.h"
@@ -32,6 +34,9 @@
   Front(net::Loop& loop, net::BufferPool& pool, core::Dispatcher& dispatcher, core::Counters& counters,
         const Limits& limits);
 
+  /// Takes calls only while `budget`, which must outlive the front, admits them, and reports to it what
+  /// clients hold. Without a budget, memory is not limited.
+  void set_memory_budget(core::MemoryBudget& budget);
   /// Listens on `address`. Returns false on failure, with the reason in `listen_error`; may be called again
   /// after a failure.
   bool listen(const std::string& address);
@@ -66,18 +71,22 @@
   Listener listener_;
   ConnectionTable connections_;
   CallTable calls_;
+  const core::MemoryBudget* memory_ = nullptr;
+  std::size_t buffered_bytes_ = 0;  // of requests received in part
   bool draining_ = false;
 
   void on_accepted(net::Socket socket, std::optional<core::Millis> waiting_since) override;
 
   bool on_requests_read(Connection& connection) override;
-  void on_refused(Connection& connection, const std::vector<Words>& requests) override;
-  void on_request(Connection& connection, Words&& words) override;
+  void on_refused(Connection& connection, const std::vector<Message>& requests) override;
+  void on_request(Connection& connection, Message&& request) override;
+  bool may_buffer(const Connection& connection, std::size_t bytes) override;
+  void on_buffered_changed(std::ptrdiff_t change) override { buffered_bytes_ += change; }
   void on_answers_overdue(Connection& connection) override;
   void on_closing(Connection& connection) override;
   void on_closed(Connection& connection) override;
 
-  void begin_call(Connection& connection, const std::string& tag, Words&& words);
+  void begin_call(Connection& connection, const std::string& tag, Message&& request);
   void cancel_call(const Connection& connection, const std::string& tag);
   void reject_call(Connection& connection, const std::string& tag, core::Counter reason,
                    core::CallStatus status = core::CallStatus::failed);
--- a/src/resp/limits.h
+++ b/src/resp/limits.h
@@ -15,7 +15,6 @@
   // pending.
   std::size_t max_closing = 16;
   std::size_t max_calls_per_connection = 32;
-  std::size_t max_body_bytes = 48U << 20;  // total body size of all open calls, of all connections
   // Time limit for a complete request. Runs from the accept for the first request of a connection, and from
   // the first byte for later ones.
   core::Millis request_timeout{2000};
--- a/src/resp/parser.cpp
+++ b/src/resp/parser.cpp
@@ -1,6 +1,7 @@
 #include "resp/parser.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "net/fields.h"
 
@@ -18,16 +19,16 @@
   return read.has_value();
 }
 
-bool Parser::handle_line(std::vector<Words>& out) {
+bool Parser::handle_line(std::vector<Message>& out) {
   if (state_ == State::array) {
     if (!parse_length('*', kMaxWords, words_left_) || words_left_ == 0) return false;
-    words_.clear();
+    message_ = Message();
     message_left_ = kMaxMessageBytes;
     state_ = State::bulk;
   } else if (state_ == State::bulk) {
     if (!parse_length('$', std::min(kMaxWordBytes, message_left_), bytes_left_)) return false;
     message_left_ -= bytes_left_;
-    words_.emplace_back();
+    begin_word();
     state_ = State::data;
   } else {
     if (!line_.empty()) return false;
@@ -36,20 +37,37 @@
   return true;
 }
 
-bool Parser::finish_word(std::vector<Words>& out) {
+void Parser::begin_word() {
+  message_.words.emplace_back();
+  const bool is_large = kMaxMessageBytes - message_left_ > kSmallMessageBytes;
+  if (!is_large || message_.memory_refused) return;
+  message_.memory_refused = admit_ && !admit_(bytes_left_);
+  if (message_.memory_refused) return;
+  message_.words.back().reserve(bytes_left_);  // without spare capacity, which nobody accounts for
+  buffered_bytes_ += bytes_left_;
+}
+
+bool Parser::finish_word(std::vector<Message>& out) {
   state_ = State::bulk;
   if (--words_left_ > 0) return true;
-  out.push_back(std::move(words_));
-  words_ = Words();
+  out.push_back(std::exchange(message_, {}));
+  buffered_bytes_ = 0;
   state_ = State::array;
   return true;
 }
 
 bool Parser::take(std::string_view bytes, std::vector<Words>& out) {
+  std::vector<Message> messages;
+  const bool well_formed = take(bytes, messages);
+  for (Message& message : messages) out.push_back(std::move(message.words));
+  return well_formed;
+}
+
+bool Parser::take(std::string_view bytes, std::vector<Message>& out) {
   while (!bytes.empty() && state_ != State::malformed) {
     if (state_ == State::data) {
       const std::size_t part = std::min(bytes_left_, bytes.size());
-      words_.back().append(bytes.substr(0, part));
+      if (!message_.memory_refused) message_.words.back().append(bytes.substr(0, part));
       bytes.remove_prefix(part);
       bytes_left_ -= part;
       if (bytes_left_ == 0) state_ = State::data_end;
