--- a/tests/invoker/support/stand_in_host.h
+++ b/tests/invoker/support/stand_in_host.h
@@ -21,7 +21,8 @@
 /// - `duplicate`: sends the answer twice;
 /// - `unknown_ref`: sends an answer under a ref that was never used, then the right one;
 /// - `malformed`: sends a reply that cannot be decoded, then the answer;
-/// - `missing_length`: sends an answer that ends before its length.
+/// - `missing_length`: sends an answer that ends before its length;
+/// - `unfinished`: sends most of an answer of 1 MB, then nothing more on the connection.
 struct Reaction {
   enum Kind {
     reply,
@@ -32,7 +33,8 @@
     duplicate,
     unknown_ref,
     malformed,
-    missing_length
+    missing_length,
+    unfinished
   } kind = reply;
   std::string word = "data";
 };
@@ -91,6 +93,10 @@
     if (reaction.kind == Reaction::missing_length) return peer.write(line.word + " data -\r\n");
     if (reaction.kind == Reaction::malformed) peer.write(line.word + " d\x01ta =,= 3\r\nxyz\r\n");
     if (reaction.kind == Reaction::duplicate) peer.write(whole);
+    if (reaction.kind == Reaction::unfinished) {
+      peer.stalled = true;
+      return peer.write(line.word + " data - 1048576\r\n" + std::string(1000000, 'u'));
+    }
     if (reaction.kind <= Reaction::reply || reaction.kind >= Reaction::duplicate) peer.write(whole);
     peer.stalled = reaction.kind == Reaction::stall;
     if (peer.stalled) peer.write(whole.substr(0, whole.size() / 2));
--- a/tests/policy/function_table_test.cpp
+++ b/tests/policy/function_table_test.cpp
@@ -73,5 +73,30 @@
   CHECK(parts.functions.all().size() <= 4096U);
 }
 
+// Guards against functions that nobody knows and that displaced those in use, or took memory without limit.
+TEST_CASE("FunctionTable: beyond its memory, unserved functions go first and served ones last",
+          "[function-table]") {
+  Settings limited = settings();
+  limited.max_function_bytes = 100 * 400;  // records without candidates
+  Parts parts(limited);
+  const std::size_t before = parts.functions.bytes();
+  for (std::uint64_t id = 1; id <= 50; ++id) {
+    Function& served = parts.add_function(id);
+    parts.times.record_run(served.times, 0, 50);
+    served.candidates.order.assign(1000, 0);
+  }
+  for (std::uint64_t id = 1001; id <= 1100; ++id) parts.add_function(id);
+  CHECK(parts.functions.bytes() - before == 150U * 400);
+  CHECK(parts.functions.bytes_to_add(1, 1000) == 0U);
+  CHECK(parts.functions.bytes_to_add(1001, 1000) == 1000 * sizeof(WorkerIndex));
+  CHECK(parts.functions.bytes_to_add(9999, 1000) == 400 + 1000 * sizeof(WorkerIndex));
+  parts.functions.prune(parts.now + Millis(100));
+  CHECK(parts.functions.all().size() == 50U);
+  CHECK(parts.functions.find(1) != nullptr);
+  CHECK(parts.functions.find(1)->candidates.order.empty());
+  CHECK(parts.functions.find(1)->candidates.list_version == -1);
+  CHECK(parts.functions.bytes() <= limited.max_function_bytes);
+}
+
 }  // namespace
 }  // namespace pathstack::policy::test
