--- a/tests/invoker/memory_limit_test.cpp
+++ b/tests/invoker/memory_limit_test.cpp
@@ -1,4 +1,6 @@
 // The memory of the program as a process, under peers that make it hold as much as they can.
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <fstream>
@@ -150,4 +152,69 @@
   CHECK(fixture.peak_mb <= platform.memory_mb);
 }
 
+// Guards against clients that do not read: their answers are unwritten bytes, of up to 32 calls each.
+TEST_CASE("answers that clients do not read stay within the memory limit", "[memory-limit]") {
+  const auto platform = GENERATE(Platform{32, 256}, Platform{32, 1024});
+  constexpr int kCallsAtOnce = 31, kReceiveBuffer = 4096;
+  MemoryFixture fixture(platform, 16384);
+  const std::string address = fixture.start(PATHSTACK_PLAIN_INVOKER);
+  std::vector<net::Socket> sockets;
+  std::vector<std::string> unsent;
+  std::uint64_t last_ref = 0;
+  for (int i = 0; i < platform.clients(); ++i) {
+    sockets.push_back(net::connect_to(address));
+    setsockopt(sockets.back().fd(), SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof kReceiveBuffer);
+    unsent.emplace_back();
+    for (int call = 1; call <= kCallsAtOnce; ++call) {
+      const std::string fields = "ref=" + net::hex16(++last_ref) + ",allow=900,lookup=00000000000000a1";
+      const std::string body(kLargestBody, 'x');
+      resp::write_array(unsent.back(), {"CALL", std::to_string(call), "record", fields, body});
+    }
+  }
+  const Millis end = fixture.loop.now() + Millis(3000);
+  fixture.turn_and_sample(Millis(5000), [&] {
+    for (std::size_t i = 0; i < sockets.size(); ++i) {
+      const ssize_t sent = send(sockets[i].fd(), unsent[i].data(), unsent[i].size(), MSG_NOSIGNAL);
+      if (sent > 0) unsent[i].erase(0, static_cast<std::size_t>(sent));
+    }
+    return fixture.loop.now() >= end;
+  });
+  CHECK(fixture.host.execs > 0);
+  CHECK(fixture.peak_mb > 0);
+  CHECK(fixture.peak_mb <= platform.memory_mb);
+  FloodClient late(fixture, address);
+  late.call(++last_ref, 0xa1, "u");
+  REQUIRE(fixture.turn_until([&] { return late.answered == 1 || late.closed; }));
+  CHECK(late.answered == 1);
+}
+
+// Guards against a line of the membership log that never ends, and against the largest list of the pages.
+TEST_CASE("lines of the membership log stay within the memory limit", "[memory-limit]") {
+  constexpr int kHosts = 3200;
+  constexpr std::size_t kEndless = std::size_t{40} << 20;
+  const Platform platform{32, 256};
+  const bool endless = GENERATE(true, false);
+  MemoryFixture fixture(platform, 16384);
+  std::string line = R"({"seq":2,"fleet":{"revision":2,"complete":true,"members":[)";
+  for (int i = 0; i < kHosts; ++i) {
+    if (i > 0) line += ',';
+    line += R"({"id":"h)" + std::to_string(i) + R"(","host_port":")" + fixture.host.server.address() +
+            R"(","locality":"hall-a","flavor":"std","cell":1,"phase":"ready","size":1,"up_since_ms":0})";
+  }
+  line += "]}}\n";
+  if (endless) line = std::string(kEndless, ' ');
+  const std::string address = fixture.start(PATHSTACK_PLAIN_INVOKER);
+  REQUIRE(fixture.turn_until([&] { return !fixture.log.server.peers.empty(); }));
+  for (const auto& peer : fixture.log.server.peers) peer->write(line);
+  fixture.turn_and_sample(Millis(2500), [&] { return fixture.log.requested_since.size() > 1; });
+  FloodClient client(fixture, address);
+  client.call(1, 1, "u");
+  REQUIRE(fixture.turn_until([&] { return client.answered == 1; }));
+  CHECK(client.served == 1);
+  const bool applied = fixture.program->output().find("seq=2 complete=1 ready=3200") != std::string::npos;
+  CHECK(applied == !endless);
+  CHECK(fixture.peak_mb > 0);
+  CHECK(fixture.peak_mb <= platform.memory_mb);
+}
+
 }  // namespace pathstack::test
