Hosts: the refs of answered attempts are forgotten after the duplicate window

An answered ref is needed for the duplicate window alone (1 s): behind it the ref may be reused, and a further answer is unexpected whether the ref is known or not.

Change: answered and cancelled refs expire by themselves, each by its own time.

The new section of the unit test fails on the code before: it says duplicate.

--- a/src/hosts/ref_history.cpp
+++ b/src/hosts/ref_history.cpp
@@ -5,15 +5,16 @@
 namespace pathstack::hosts {
 namespace {
 
-constexpr Millis kRetention{10000};  // the connection to a host that is unreachable for longer has ended
+constexpr Millis kCancelledRetention{
+    10000};  // the connection to a host that is unreachable for longer has ended
 constexpr std::size_t kMaxRefs = 2048;
 
 }  // namespace
 
-void RefHistory::answered(const std::string& ref, Millis now) { add(ref, {now, 0}); }
+void RefHistory::answered(const std::string& ref, Millis now) { add(ref, {now, 0}, answered_); }
 
 void RefHistory::cancelled(const std::string& ref, Millis now, std::uint64_t cancel_end) {
-  add(ref, {now, cancel_end});
+  add(ref, {now, cancel_end}, cancelled_);
 }
 
 void RefHistory::confirm_read(std::uint64_t request_end) { confirmed_ = std::max(confirmed_, request_end); }
@@ -32,19 +33,24 @@
   return now - found->second.ended > duplicate_window_ && found->second.cancel_end <= confirmed_;
 }
 
-void RefHistory::add(const std::string& ref, const Entry& entry) {
+void RefHistory::add(const std::string& ref, const Entry& entry, Order& order) {
   expire(entry.ended);
   entries_[ref] = entry;
-  order_.emplace_back(entry.ended, ref);
+  order.emplace_back(entry.ended, ref);
 }
 
 void RefHistory::expire(Millis now) {
-  while (!order_.empty() && (now - order_.front().first > kRetention || order_.size() > kMaxRefs)) {
-    const auto& [ended, ref] = order_.front();
+  expire(answered_, now, duplicate_window_);
+  expire(cancelled_, now, kCancelledRetention);
+}
+
+void RefHistory::expire(Order& order, Millis now, Millis retention) {
+  while (!order.empty() && (now - order.front().first > retention || order.size() > kMaxRefs)) {
+    const auto& [ended, ref] = order.front();
     const auto found = entries_.find(ref);
-    // A ref that was reused since has a later entry in `order_`.
+    // A ref that was reused since has a later entry in one of the orders.
     if (found != entries_.end() && found->second.ended == ended) entries_.erase(found);
-    order_.pop_front();
+    order.pop_front();
   }
 }
 
--- a/src/hosts/ref_history.h
+++ b/src/hosts/ref_history.h
@@ -20,7 +20,8 @@
 /// such answer can arrive any more. For an answered attempt that is after the duplicate window. For a
 /// cancelled attempt it is after the duplicate window and once the host has answered a request that was
 /// written after the cancellation: each direction of a connection keeps its order, so the host has read the
-/// cancellation. A ref is forgotten after 10 s, or when 2,048 newer refs are recorded.
+/// cancellation. The ref of an answered attempt is forgotten after the duplicate window, that of a cancelled
+/// one after 10 s, and each when 2,048 newer refs of its kind are recorded.
 ///
 /// All operations take amortised constant time.
 class RefHistory {
@@ -40,8 +41,8 @@
   /// Records that the host has read the output stream up to the offset `request_end`, as it has answered the
   /// request that ends there.
   void confirm_read(std::uint64_t request_end);
-  /// Classifies an answer that belongs to no open attempt. The first answer to a cancelled attempt restarts
-  /// the duplicate window of its ref.
+  /// Classifies an answer that belongs to no open attempt; one whose ref is forgotten is unknown. The first
+  /// answer to a cancelled attempt restarts the duplicate window of its ref.
   LateAnswer record_late_answer(const std::string& ref, Millis now);
   /// True if an attempt may be sent under `ref`.
   bool reusable(const std::string& ref, Millis now) const;
@@ -56,10 +57,13 @@
   Millis duplicate_window_;
   std::uint64_t confirmed_ = 0;  // the host has read all bytes before this offset
   std::unordered_map<std::string, Entry> entries_;
-  std::deque<std::pair<Millis, std::string>> order_;  // oldest first; may contain refs that were reused since
+  // Oldest first; may contain refs that were reused since.
+  using Order = std::deque<std::pair<Millis, std::string>>;
+  Order answered_, cancelled_;
 
-  void add(const std::string& ref, const Entry& entry);
+  void add(const std::string& ref, const Entry& entry, Order& order);
   void expire(Millis now);
+  void expire(Order& order, Millis now, Millis retention);
 };
 
 }  // namespace pathstack::hosts
--- a/tests/invoker/links_test.cpp
+++ b/tests/invoker/links_test.cpp
@@ -46,6 +46,16 @@
     CHECK(history.reusable("a", Millis(401)));
     CHECK(history.record_late_answer("b", Millis(401)) == LateAnswer::unknown);
   }
+  // Guards against a flood of served calls, whose refs held more memory than the calls.
+  SECTION("the ref of an answered attempt is forgotten after the duplicate window") {
+    history.cancelled("c", Millis(5), 500);
+    history.answered("a", Millis(10));
+    history.answered("b", Millis(110));
+    CHECK(history.record_late_answer("a", Millis(110)) == LateAnswer::duplicate);
+    history.answered("b", Millis(111));
+    CHECK(history.record_late_answer("a", Millis(111)) == LateAnswer::unknown);
+    CHECK(history.record_late_answer("c", Millis(111)) == LateAnswer::first);
+  }
   SECTION("a ref expires by its latest use, not by an earlier one") {
     history.cancelled("a", Millis(10), 500);
     history.reuse("a");
