--- a/review/support-2/rig.h
+++ b/review/support-2/rig.h
@@ -155,6 +155,7 @@
           if (self) self->ready(events);
         });
   }
+  bool was_up() const { return was_up_; }
   bool up() const { return fd_ >= 0 && !connecting_; }
   bool closed() const { return fd_ < 0; }
   void pause(bool paused) { paused_ = paused; }
@@ -180,7 +181,7 @@
  private:
   Loop& loop_;
   int fd_;
-  bool connecting_, paused_ = false;
+  bool connecting_, paused_ = false, was_up_ = false;
   std::string in_, out_;
 
   void flush() {
@@ -204,6 +205,7 @@
       if (error != 0) return end(true);
       if ((events & POLLOUT) == 0) return;
       connecting_ = false;
+      was_up_ = true;
       if (on_up) on_up();
       flush();
       return;
@@ -782,6 +784,12 @@
     conn->write(resp_array({"CHECK", "1", ""}));
     probe_ = conn;
   }
+  void close() {
+    for (Slot& slot : slots_) {
+      if (slot.conn) slot.conn->close();
+      slot.conn = nullptr;
+    }
+  }
   std::size_t open_calls() const {
     std::size_t sum = 0;
     for (const Slot& slot : slots_) sum += slot.open.size();
@@ -876,9 +884,14 @@
                  reset ? "was reset or refused" : "was closed by the invoker", slot.open.size());
     const auto open = std::move(slot.open);
     slot.open.clear();
+    const bool taken = slot.conn && slot.conn->was_up();  // else the machine never accepted the connection
     slot.conn = nullptr;
     for (const auto& [tag, call] : open) {
       call->connection_ended = now;
+      if (!taken) {
+        call->cancelled = true;
+        continue;
+      }
       if (now - call->sent <= 50 && !call->resent) {
         auto again = std::make_shared<Call>(*call);
         call->cancelled = true;  // the first is not judged
