--- a/review/support-2/rig.h
+++ b/review/support-2/rig.h
@@ -139,6 +139,9 @@
   std::function<void(std::string& input)> on_data;
   std::function<void(bool reset)> on_end;
   std::function<void()> on_up;
+  // How long the end by the peer waits for a reset that follows it. A reset shows that the peer had not read
+  // all that was sent to it.
+  double wait_for_reset_ms = 0;
 
   void start() {
     std::weak_ptr<Conn> weak = shared_from_this();
@@ -193,6 +196,16 @@
   }
   void end(bool reset) {
     const auto self = shared_from_this();
+    if (!reset && wait_for_reset_ms > 0) {
+      loop_.unwatch(fd_);
+      return loop_.after(std::exchange(wait_for_reset_ms, 0), [self] {
+        int error = 0;
+        socklen_t size = sizeof error;
+        if (self->fd_ < 0) return;
+        getsockopt(self->fd_, SOL_SOCKET, SO_ERROR, &error, &size);
+        self->end(error != 0);
+      });
+    }
     close();
     if (on_end) on_end(reset);
   }
@@ -739,6 +752,7 @@
   double answered = 0;  // 0: not yet
   std::string word;     // of the answer
   double connection_ended = 0;
+  bool reset = false;   // the connection ended with a reset
   bool resent = false;  // sent again after a crossing with a close
   bool cancelled = false;
   int answers = 0;
@@ -759,6 +773,7 @@
       : loop_(loop), record_(record), port_(port), slots_(connections) {}
   std::function<void(const Call&)> on_answer;  // also called when a call ends without one
   std::vector<std::shared_ptr<Call>> calls;    // all that were sent
+  double wait_for_reset_ms = 0;                // see Conn
   std::size_t unsent = 0;                      // calls for which no connection was free or up
 
   // Sends a call on the next connection that carries fewer than 32 open requests.
@@ -814,6 +829,7 @@
   void open(Slot& slot) {
     slot.conn = connect_to(loop_, port_);
     if (!slot.conn) return;
+    slot.conn->wait_for_reset_ms = wait_for_reset_ms;
     slot.number = ++opened_;
     slot.last_tag = 0;
     Slot* at = &slot;
@@ -888,6 +904,7 @@
     slot.conn = nullptr;
     for (const auto& [tag, call] : open) {
       call->connection_ended = now;
+      call->reset = reset;
       if (!taken) {
         call->cancelled = true;
         continue;
@@ -897,6 +914,7 @@
         call->cancelled = true;  // the first is not judged
         again->resent = true;
         again->connection_ended = 0;
+        again->reset = false;
         loop_.after(0, [this, again] { send(again); });
       } else if (on_answer) {
         on_answer(*call);
