--- a/review/7/play.cpp
+++ b/review/7/play.cpp
@@ -7,15 +7,13 @@
 namespace {
 
 constexpr int kHosts = 8;
-constexpr std::size_t kConnections = 6;  // of usual clients; at most 85: a third of 256 descriptors
+constexpr std::size_t kConnections = 9;  // of usual clients; at most 85: a third of 256 descriptors
 constexpr double kCallsPerSecond = 150;  // TERMS: up to 170 requests a second
-constexpr int kFirstBadClients = 50;     // before the usual clients
-constexpr int kBadClients = 200;         // TERMS: "by hundreds"
-constexpr double kHalfRequestMs = 1000;  // until a bad client closes
-constexpr double kAgainMs = 10;          // until a bad client that was turned away comes again
-constexpr double kCalmMs = 2500, kTroubleMs = 6000, kAfterMs = 4000;
+constexpr int kBadProcesses = 4, kBadClients = 19;  // in each process: with the usual clients 85 connections
+constexpr double kHalfRequestMs = 10;               // until a bad client closes
+constexpr double kTroubleMs = 20000, kAfterMs = 4000;
 constexpr double kCrossingMs = 50, kLateMs = 500;
-constexpr int kFunctions = 150;
+constexpr int kFunctions = 60;
 
 // A bad client: withdraws a request that was never made, sends half a request and closes; the same again the
 // moment it is turned away.
@@ -32,26 +30,18 @@
       });
     };
     if (!conn_) return again(20);
-    ++connections;
-    const double began = now_ms();
     conn_->on_data = [](std::string& in) { in.clear(); };
-    conn_->on_end = [this, again, began](bool) {
-      longest_wait = std::max(longest_wait, now_ms() - began);
-      ++turned_away;
-      again(kAgainMs);
-    };
+    conn_->on_end = [again](bool) { again(0); };
     const std::weak_ptr<Conn> conn = conn_;
     loop_.after(kHalfRequestMs, [conn, again] {
       const auto open = conn.lock();
       if (!open || open->closed()) return;
       open->close();
-      again(kAgainMs);
+      again(0);
     });
     const std::string half = resp_array({"CALL", "8", "preview", "ref=00112233445566", "x"});
     conn_->write(resp_array({"CANCEL", "7"}) + half.substr(0, half.size() / 2));
   }
-  static inline int connections = 0, turned_away = 0;
-  static inline double longest_wait = 0;  // until a bad client was turned away
 
  private:
   Loop& loop_;
@@ -59,12 +49,56 @@
   std::shared_ptr<Conn> conn_;
 };
 
+// A process of bad clients, which begin when they are told to.
+class BadProcess {
+ public:
+  BadProcess(int port, int clients) {
+    int ends[2];
+    if (pipe(ends) != 0) cannot_run("no pipe");
+    pid_ = fork();
+    if (pid_ < 0) cannot_run("cannot fork");
+    if (pid_ == 0) {
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
+      ::close(ends[1]);
+      double length = 0;
+      if (read(ends[0], &length, sizeof length) != sizeof length) _exit(0);
+      Loop loop;
+      std::vector<std::shared_ptr<BadClient>> bad;
+      for (int i = 0; i < clients; ++i) {
+        bad.push_back(std::make_shared<BadClient>(loop, port));
+        bad.back()->run(now_ms() + length);
+      }
+      loop.run_until(now_ms() + length + kHalfRequestMs);
+      _exit(0);
+    }
+    ::close(ends[0]);
+    start_ = ends[1];
+  }
+  ~BadProcess() {
+    ::close(start_);
+    ::kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+  void begin(double length) const {
+    if (write(start_, &length, sizeof length) != sizeof length) cannot_run("a process of bad clients ended");
+  }
+
+ private:
+  pid_t pid_ = -1;
+  int start_ = -1;
+};
+
 }  // namespace
 
 int main(int argc, char** argv) {
   if (argc < 5) cannot_run("arguments: ROOT RUN FOLDER RECORD");
   signal(SIGPIPE, SIG_IGN);
   Record record(argv[4]);
+  Invoker invoker(argv[1], argv[2], argv[3], "n1");
+  // Before anything is opened, as a child process would hold it open.
+  std::vector<std::unique_ptr<BadProcess>> bad;
+  for (int i = 0; i < kBadProcesses; ++i)
+    bad.push_back(std::make_unique<BadProcess>(invoker.port(), kBadClients));
   Loop loop;
   ChangeLog log(loop, record);
   std::vector<std::unique_ptr<Host>> hosts;
@@ -87,28 +121,19 @@
   log.append(rows, true);
   Site site;
   site.memory_mb = 128;
-  Invoker invoker(argv[1], argv[2], argv[3], "n1");
   invoker.write_config(configuration(invoker, "n1", site, log.address(), log.known(), 36));
   invoker.start();
   Client client(loop, record, invoker.port(), kConnections);
   wait_ready(loop, record, invoker, client);
 
   std::mt19937_64 random(36);
-  std::vector<std::shared_ptr<BadClient>> bad;
-  const auto add_bad_clients = [&](int count, double until) {
-    record.line("bad clients: %d more begin", count);
-    for (int i = 0; i < count; ++i) {
-      bad.push_back(std::make_shared<BadClient>(loop, invoker.port()));
-      bad.back()->run(until);
-    }
-  };
   if (trouble()) {
-    add_bad_clients(kFirstBadClients, now_ms() + kCalmMs + kTroubleMs);
+    record.line("bad clients: %d begin", kBadProcesses * kBadClients);
+    for (const auto& process : bad) process->begin(kTroubleMs);
     loop.run_until(now_ms() + 300);
   }
   const double began = now_ms();
-  const double trouble_from = began + kCalmMs, trouble_to = trouble_from + kTroubleMs,
-               end = trouble_to + kAfterMs;
+  const double end = began + kTroubleMs + kAfterMs;
   std::function<void()> next = [&] {
     if (now_ms() >= end) return;
     auto call = std::make_shared<Call>();
@@ -124,9 +149,6 @@
     loop.after(gap, next);
   };
   loop.after(1, next);
-  if (trouble()) {
-    loop.at(trouble_from, [&] { add_bad_clients(kBadClients - kFirstBadClients, trouble_to); });
-  }
   loop.run_until(end + 5600, [&] { return !invoker.running(); });
 
   const bool crashed = !invoker.running();
@@ -157,13 +179,11 @@
     std::fprintf(
         out,
         "sent %zu, OK %d, BUSY %d, FAILED %d, sent again after a crossing %d, no free connection %zu; "
-        "bad connections %d, %d of them turned away, after %.0f ms at most; lost: connection closed without "
-        "an "
+        "lost: connection closed without an "
         "answer %d (longest %.0f ms after sending), never answered %d, late %d; wrong bodies %d, "
         "answers to no request %zu; crashed %d\n",
         client.calls.size(), answers["OK"], answers["BUSY"], answers["FAILED"], resent, client.unsent,
-        BadClient::connections, BadClient::turned_away, BadClient::longest_wait, lost_closed, longest,
-        lost_never, late, wrong, client.stray_answers, crashed);
+        lost_closed, longest, lost_never, late, wrong, client.stray_answers, crashed);
   };
   summary(stdout);
   record.line("%s", "the end");
