--- a/src/resp/connection.cpp
+++ b/src/resp/connection.cpp
@@ -64,8 +64,15 @@
   if (request_overdue_ || rejected_) close();
 }
 
-void Connection::reply(std::string_view bytes) {
+std::size_t Connection::unanswered_calls() {
+  unwritten_answers_.remove_written(outbox().written());
+  return open_calls_.size() + unwritten_answers_.size();
+}
+
+void Connection::reply(const std::string& tag, std::string_view bytes) {
   write(bytes);
+  unwritten_answers_.remove_written(outbox().written());
+  unwritten_answers_.add(tag, outbox().appended());
   // Protects the buffer pool from clients that do not read. The open calls of such a client can still add a
   // bounded number of answers.
   const std::size_t unread = outbox().appended() - outbox().written();
--- a/src/resp/connection.h
+++ b/src/resp/connection.h
@@ -17,6 +17,7 @@
 #include "net/stream.h"
 #include "resp/limits.h"
 #include "resp/parser.h"
+#include "resp/unwritten_answers.h"
 
 namespace pathstack::resp {
 
@@ -92,17 +93,23 @@
   /// The open call with the tag. Empty if there is none.
   std::optional<core::CallId> find_call(const std::string& tag) const;
   std::size_t open_calls() const { return open_calls_.size(); }
+  /// The calls that are open to the client: those without an answer, and those whose answer is not written to
+  /// the socket yet. Linear in the latter.
+  std::size_t unanswered_calls();
   /// The ids of open calls in the order in which the calls were received. Sorts, so O(n log n).
   std::vector<core::CallId> open_call_ids() const;
   /// Called when the last open call was answered. Closes the connection if the close was waiting for that
   /// answer.
   void on_all_answered();
 
-  /// Queues a reply to be written at the end of the turn. Rejects the input of a client with too many unread
-  /// bytes.
-  void reply(std::string_view bytes);
-  /// Counts a rejected call, and rejects further input beyond a limit. Without the limit, a client that
-  /// retries a rejected call immediately would do so forever.
+  /// Queues the final answer to the call with the tag, to be written at the end of the turn. Rejects the
+  /// input of a client with too many unread bytes.
+  void reply(const std::string& tag, std::string_view bytes);
+  /// Called when the client has cancelled a call that is not open. If the answer is not written yet, the call
+  /// no longer counts in `unanswered_calls`.
+  void cancelled_after_answer(const std::string& tag) { unwritten_answers_.remove_cancelled(tag); }
+  /// Counts a call that was rejected through a fault of the client, and rejects further input beyond a limit.
+  /// Without the limit, a client that retries a rejected call immediately would do so forever.
   void count_rejected_call();
   /// Discards all further input, and closes the connection once open calls have their final answers. Used
   /// after protocol errors, for clients that exceed limits, and at shutdown.
@@ -118,7 +125,8 @@
   Parser parser_;
   std::unordered_map<std::string, core::CallId> open_calls_;  // by tag
   std::size_t call_bytes_ = 0;                                // held by the open calls
-  std::size_t reported_buffered_bytes_ = 0;                   // as last passed to the observer
+  UnwrittenAnswers unwritten_answers_;
+  std::size_t reported_buffered_bytes_ = 0;  // as last passed to the observer
   net::Loop::TimerId request_timer_{};
   bool awaits_request_ = true;     // no request yet, or the current one is incomplete
   bool request_overdue_ = false;   // the current request was not complete in time
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -54,7 +54,7 @@
   const auto call = calls_.remove(id);
   if (!call) return;  // cancelled, or its client closed the connection
   Connection& connection = *call->connection;
-  connection.reply(encode_answer(call->tag, answer));
+  connection.reply(call->tag, encode_answer(call->tag, answer));
   if (connection.open_calls() == 0) connection.on_all_answered();
 }
 
@@ -76,7 +76,7 @@
     const Words& words = request.words;
     if (words.size() < 2) continue;
     const std::string& tag = words[1];
-    if (words[0] == "CALL") connection.reply(encode_status(tag, core::CallStatus::refused));
+    if (words[0] == "CALL") connection.reply(tag, encode_status(tag, core::CallStatus::refused));
     if (words[0] == "CHECK") reply_health(connection, tag);
   }
   connection.reject_input();
@@ -88,7 +88,7 @@
   if (const auto* const error = std::get_if<RequestError>(&decoded)) {
     counters_.add(counter_of(*error));
     if (*error == RequestError::bad_tag) return connection.reject_input();
-    return connection.reply(encode_status(words[1], core::CallStatus::failed));
+    return connection.reply(words[1], encode_status(words[1], core::CallStatus::failed));
   }
   const auto& header = std::get<RequestHeader>(decoded);
   switch (header.kind) {
@@ -129,9 +129,7 @@
   if (connection.open_calls() >= limits_.max_calls_per_connection) {
     return reject_call(connection, tag, core::Counter::resp_too_many_open, core::CallStatus::refused);
   }
-  if (request.memory_refused) {
-    return reject_call(connection, tag, core::Counter::resp_no_memory, core::CallStatus::refused);
-  }
+  if (request.memory_refused) return refuse_for_memory(connection, tag);
   auto decoded = decode_call(request.words);
   if (const auto* const error = std::get_if<RequestError>(&decoded)) {
     return reject_call(connection, tag, counter_of(*error));
@@ -140,7 +138,7 @@
   const std::size_t bytes = core::Dispatcher::bytes_of(call);
   const std::size_t shared = dispatcher_.function_bytes_to_add(call);
   if (memory_ != nullptr && !memory_->admits_work(connection.held_bytes(), bytes, shared)) {
-    return reject_call(connection, tag, core::Counter::resp_no_memory, core::CallStatus::refused);
+    return refuse_for_memory(connection, tag);
   }
   call.arrived = connection.arrival_of_input();
 
@@ -151,18 +149,29 @@
   reject_call(connection, tag, core::Counter::resp_not_taken);
 }
 
-void Front::cancel_call(const Connection& connection, const std::string& tag) {
+void Front::cancel_call(Connection& connection, const std::string& tag) {
   counters_.add(core::Counter::resp_cancels);
   const auto id = connection.find_call(tag);
-  if (!id) return;  // already answered, or never open
+  if (!id) return connection.cancelled_after_answer(tag);
   calls_.remove(*id);
   dispatcher_.abandon(*id);
 }
 
+// Lack of memory is no fault of the client, so its connection goes on, however often that happens. But a
+// client that sends without waiting for answers is rejected as usual, or it could cause any amount of work.
+void Front::refuse_for_memory(Connection& connection, const std::string& tag) {
+  if (connection.unanswered_calls() >= limits_.max_calls_per_connection) {
+    return reject_call(connection, tag, core::Counter::resp_too_many_open, core::CallStatus::refused);
+  }
+  counters_.add(core::Counter::resp_no_memory);
+  connection.reply(tag, encode_status(tag, core::CallStatus::refused));
+}
+
+// Rejects a call that no client within the protocol sends.
 void Front::reject_call(Connection& connection, const std::string& tag, core::Counter reason,
                         core::CallStatus status) {
   counters_.add(reason);
-  connection.reply(encode_status(tag, status));
+  connection.reply(tag, encode_status(tag, status));
   connection.count_rejected_call();
 }
 
@@ -175,7 +184,7 @@
   const auto call = calls_.remove(id);
   if (!call) return;
   dispatcher_.abandon(id);
-  call->connection->reply(encode_status(call->tag, core::CallStatus::failed));
+  call->connection->reply(call->tag, encode_status(call->tag, core::CallStatus::failed));
 }
 
 }  // namespace pathstack::resp
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -87,7 +87,8 @@
   void on_closed(Connection& connection) override;
 
   void begin_call(Connection& connection, const std::string& tag, Message&& request);
-  void cancel_call(const Connection& connection, const std::string& tag);
+  void cancel_call(Connection& connection, const std::string& tag);
+  void refuse_for_memory(Connection& connection, const std::string& tag);
   void reject_call(Connection& connection, const std::string& tag, core::Counter reason,
                    core::CallStatus status = core::CallStatus::failed);
   void reply_health(Connection& connection, const std::string& tag) const;
--- a/tests/invoker/memory_budget_test.cpp
+++ b/tests/invoker/memory_budget_test.cpp
@@ -1,6 +1,7 @@
 // The memory budget, and what happens to the work that it refuses.
 #include "core/memory_budget.h"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 #include <vector>
@@ -108,6 +109,80 @@
   CHECK(c.answer("3")->at(1) == "OK");
 }
 
+// Guards against a failure found in review: after 64 refusals for lack of memory, what a client sent on the
+// connection was thrown away, cancels too.
+TEST_CASE("a client stays served and may cancel however many of its calls found no memory") {
+  constexpr int kRefusals = 200, kAtOnce = 25;
+  FrontFixture p(1);
+  MemoryBudget budget(1U << 20, 4);
+  p.front.set_memory_budget(budget);
+  std::size_t others = 0;
+  budget.track(MemoryOwner::broker, [&] { return others; });
+  p.world.host[0]->react = [](const std::string& body) {
+    return body == "silent" ? Reaction{Reaction::silence, ""} : Reaction();
+  };
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-record", "silent", 1400);
+  c.call("2", "bin-record", "silent", 1400);
+  REQUIRE(p.world.turn_until([&] { return p.world.host[0]->execs == 2; }, 20000));
+  others = 1U << 20;
+  const std::string body(GENERATE(1, 16000), 'x');
+  for (int i = 0; i < kRefusals; ++i) {
+    c.call(std::to_string(100 + i), "bin-check", body);
+    const bool is_batch_complete = (i + 1) % kAtOnce == 0;
+    if (is_batch_complete) REQUIRE(c.answer(std::to_string(100 + i)) != nullptr);
+  }
+  const auto is_refused = [](const resp::Words& reply) { return reply.at(1) == "BUSY"; };
+  CHECK(std::count_if(c.replies.begin(), c.replies.end(), is_refused) == kRefusals);
+  CHECK(p.world.counters.value(core::Counter::resp_no_memory) == kRefusals);
+  c.send_command({"CANCEL", "1"});
+  CHECK(p.world.turn_until([&] { return p.world.host[0]->cancels == 1; }, 20));
+  others = 0;
+  c.call("3", "bin-check", "x");
+  REQUIRE(c.answer("3") != nullptr);
+  CHECK(c.answer("3")->at(1) == "OK");
+  CHECK_FALSE(c.closed);
+  CHECK(p.world.counters.value(core::Counter::resp_faults_closed) == 0);
+}
+
+// Guards the bound on the work of a client that sends without limit while memory is short.
+TEST_CASE("a client that sends more calls at once than may be open is disconnected, also without memory") {
+  constexpr int kMaxOpen = 32, kMaxRejected = 64;
+  FrontFixture p(1);
+  MemoryBudget budget(1U << 20, 4);
+  p.front.set_memory_budget(budget);
+  budget.track(MemoryOwner::broker, [] { return std::size_t{1} << 20; });
+  Client c(p.world, p.front.address());
+  c.send_command({"CHECK", "1"});
+  REQUIRE(c.answer("1") != nullptr);
+  for (int i = 0; i < kMaxOpen + kMaxRejected + 20; ++i) c.call(std::to_string(100 + i), "bin-check", "x");
+  CHECK(p.world.turn_until([&] { return c.closed; }, 20000));
+  CHECK(p.world.counters.value(core::Counter::resp_no_memory) == kMaxOpen);
+  CHECK(p.world.counters.value(core::Counter::resp_too_many_open) == kMaxRejected + 1);
+  CHECK(p.world.counters.value(core::Counter::resp_faults_closed) == 1);
+}
+
+// A call that was cancelled after its answer was queued is not open to its client any more.
+TEST_CASE("a cancel makes room for a call although its answer is not written yet") {
+  constexpr int kMaxOpen = 32;
+  FrontFixture p(1);
+  MemoryBudget budget(1U << 20, 4);
+  p.front.set_memory_budget(budget);
+  budget.track(MemoryOwner::broker, [] { return std::size_t{1} << 20; });
+  Client c(p.world, p.front.address());
+  c.send_command({"CHECK", "1"});
+  REQUIRE(c.answer("1") != nullptr);
+  const auto tag_of = [](int i) { return std::to_string(100 + i); };
+  // All are read in one turn, but in two reads, so that the cancels find most calls answered.
+  const std::string body(600, 'x');
+  for (int i = 0; i < kMaxOpen; ++i) c.call(tag_of(i), "bin-check", body);
+  const bool cancels = GENERATE(true, false);
+  for (int i = 0; cancels && i < kMaxOpen; ++i) c.send_command({"CANCEL", tag_of(i)});
+  for (int i = 0; i < kMaxOpen; ++i) c.call(tag_of(kMaxOpen + i), "bin-check", "x");
+  REQUIRE(c.answer(tag_of(2 * kMaxOpen - 1)) != nullptr);
+  CHECK(p.world.counters.value(core::Counter::resp_too_many_open) == (cancels ? 0 : kMaxOpen));
+}
+
 // A client that sends two requests under one number must not be served, whichever of them lacks memory.
 TEST_CASE("the tag of an open call ends the connection also for a request without memory") {
   FrontFixture p(1);
