--- a/src/resp/connection_table.cpp
+++ b/src/resp/connection_table.cpp
@@ -30,11 +30,17 @@
 }
 
 bool ConnectionTable::activate(Connection& connection) {
+  const bool is_active = connection.list_ == &active_;
+  const bool has_capacity = is_active || active_.size() < limits_.max_active || evict_idle();
+  if (!has_capacity) return false;
   move_to_back(active_, connection);
-  if (active_.size() <= limits_.max_active) return true;
-  const auto self = std::prev(active_.end());
-  const auto found = std::find_if(active_.begin(), self, is_idle);
-  if (found == self) return false;
+  return true;
+}
+
+// Returns false if no active connection is idle.
+bool ConnectionTable::evict_idle() {
+  const auto found = std::find_if(active_.begin(), active_.end(), is_idle);
+  if (found == active_.end()) return false;
   const std::shared_ptr<Connection> idle = *found;
   evict(*idle, core::Counter::resp_idle_closed);
   return true;
--- a/src/resp/connection_table.h
+++ b/src/resp/connection_table.h
@@ -21,9 +21,10 @@
   /// Adds a connection in the pending state. Beyond the limit, reads from the oldest pending connection and
   /// closes it if it still has not sent a complete request.
   void add_pending(std::shared_ptr<Connection> connection);
-  /// Makes the connection the most recent active one, as a complete request was received. Beyond the limit,
-  /// closes the idle connection with the oldest last request, and returns false if no connection is idle.
-  /// Cost beyond the limit: one poll(2) for each active connection that appears idle, until one is.
+  /// Makes the connection the most recent active one, as a complete request was received. A connection that
+  /// is active already stays so, whatever the limit. For another one beyond the limit, closes the idle
+  /// connection with the oldest last request; returns false, and leaves the connection where it is, if none
+  /// is idle. Cost then: one poll(2) for each active connection that appears idle, until one is.
   bool activate(Connection& connection);
   /// Moves the connection to the closing state. Beyond the limit, closes the socket of the connection that
   /// has been closing for longest, without waiting for its client.
@@ -48,6 +49,7 @@
   ConnectionList closing_;  // ordered by start of the close, oldest first
 
   static void move_to_back(ConnectionList& list, Connection& connection);
+  bool evict_idle();
   void evict(Connection& connection, core::Counter reason);
 };
 
--- a/tests/invoker/client_close_test.cpp
+++ b/tests/invoker/client_close_test.cpp
@@ -296,6 +296,39 @@
   CHECK(active.read() == State::open);
 }
 
+// Guards against a failure found in review: a connection with open calls was taken for one too many when a
+// new one was read before it, and what its client sent from then on was thrown away.
+TEST_CASE("a connection with open calls is not refused for a new one that is read before it") {
+  resp::Front::Limits limits;
+  limits.max_active = 2;
+  FrontHarness p(limits);
+  p.keep_host_silent();
+  RawClient first(p.front.address());
+  first.send_all(p, request({"CHECK", "1", ""}));
+  REQUIRE(first.has_answer(p, "1"));
+  RawClient busy(p.front.address()), other(p.front.address());
+  busy.send_all(p, call("1"));
+  other.send_all(p, call("2"));
+  REQUIRE(p.turn_until([&] { return p.host().execs == 2; }));
+  REQUIRE(first.read_to_end(p) == State::closed_in_order);
+  first.close();
+  for (int i = 0; i < 3; ++i) p.world.turn();
+  // Gets the descriptor of the first connection, so the loop reads it before the busy one.
+  RawClient late(p.front.address());
+  REQUIRE(p.turn_until([&] { return p.count(core::Counter::resp_connections) == 4; }));
+  late.send_all(p, request({"CANCEL", "7"}) + "*2\r\n$5\r\n");
+  busy.send_all(p, call("3"));
+  REQUIRE(p.turn_until([&] { return p.count(core::Counter::resp_no_place) >= 1; }));
+  CHECK(p.turn_until([&] { return p.host().execs == 3; }));
+  busy.send_all(p, request({"CANCEL", "1"}));
+  CHECK(p.turn_until([&] { return p.host().cancels == 1; }));
+  p.answer_from_host(ref_of("3"));
+  REQUIRE(busy.has_answer(p, "3"));
+  CHECK(busy.answers() == std::vector<resp::Words>{{"3", "OK", "", "x"}});
+  CHECK(late.read_to_end(p) != State::open);
+  CHECK(p.count(core::Counter::resp_no_place) == 1);
+}
+
 // Hides from the event loop that the first accepted connection is readable. Calls of poll(2) for a single
 // descriptor are passed through.
 class FirstConnectionHidden final : public net::SystemCalls {
