RESP: cancels are processed also after a protocol error

Found by asking of each place that discards input what becomes of cancels. Once the input of a connection was rejected (no tag, repeated tag, too many rejected calls, unread answers), all that its client sent was thrown away for up to 2 s, cancels too, and the attempts of calls that nobody waited for went on or began anew.

Change: as long as calls are open and the stream can be parsed, cancels are processed and all other requests ignored as before. The connection ends with its last call, answered or cancelled.

Result: the new test (four faults, in one write and in two) fails on the code before.

--- a/src/resp/connection.cpp
+++ b/src/resp/connection.cpp
@@ -36,7 +36,7 @@
       counters_(counters),
       limits_(limits),
       observer_(observer),
-      parser_([this](std::size_t bytes) { return observer_.may_buffer(*this, bytes); }) {
+      parser_([this](std::size_t bytes) { return !rejected_ && observer_.may_buffer(*this, bytes); }) {
   restart_request_timer();
 }
 
@@ -76,7 +76,7 @@
   // Protects the buffer pool from clients that do not read. The open calls of such a client can still add a
   // bounded number of answers.
   const std::size_t unread = outbox().appended() - outbox().written();
-  if (unread <= kMaxUnreadBytes || discards_input()) return;
+  if (unread <= kMaxUnreadBytes || rejected_) return;
   counters_.add(core::Counter::resp_unread_closed);
   reject_input();
 }
@@ -90,12 +90,12 @@
 void Connection::reject_input() {
   if (rejected_) return;
   rejected_ = true;
-  stop_receiving();
   if (open_calls_.empty()) return close();
   restart_timer(limits_.rejected_timeout, [this] { observer_.on_answers_overdue(*this); });
 }
 
 void Connection::close() {
+  if (rejected_) stop_receiving();                   // no call is open that the client could cancel
   if (outbox().appended() == 0) return end_later();  // nothing was sent that a reset could discard
   end_when_written();
   // Bounds the time for which a client that does not read its answers holds the descriptor.
@@ -150,20 +150,28 @@
   const bool well_formed = parser_.take(bytes, requests);
   report_buffered_bytes(parser_.buffered_bytes());
   const bool request_complete = !requests.empty();
-  if (request_complete) {
+  if (request_complete && !rejected_) {
     has_sent_request_ = true;
     if (!observer_.on_requests_read(*this)) return observer_.on_refused(*this, requests);
   }
-  update_request_timer(request_complete);
+  if (!rejected_) update_request_timer(request_complete);
   const std::size_t dropped = drop_cancelled_calls(requests, open_calls_);
   if (dropped > 0) counters_.add(core::Counter::resp_taken_back, dropped);
+  process(std::move(requests));
+  if (well_formed) return;
+  if (!rejected_) counters_.add(core::Counter::resp_malformed);
+  stop_receiving();
+  reject_input();
+}
+
+// Of the requests after a protocol error only cancels are processed: a host must not begin a call that its
+// client has left.
+void Connection::process(std::vector<Message>&& requests) {
   for (auto& request : requests) {
-    if (rejected_ || ending()) return;  // requests after a protocol error are ignored
+    if (ending()) return;
+    if (rejected_ && request.words.front() != "CANCEL") continue;
     observer_.on_request(*this, std::move(request));
   }
-  if (well_formed) return;
-  counters_.add(core::Counter::resp_malformed);
-  reject_input();
 }
 
 void Connection::report_buffered_bytes(std::size_t bytes) {
--- a/src/resp/connection.h
+++ b/src/resp/connection.h
@@ -98,8 +98,8 @@
   std::size_t unanswered_calls();
   /// The ids of open calls in the order in which the calls were received. Sorts, so O(n log n).
   std::vector<core::CallId> open_call_ids() const;
-  /// Called when the last open call was answered. Closes the connection if the close was waiting for that
-  /// answer.
+  /// Called when the last open call was answered or cancelled. Closes the connection if the close was waiting
+  /// for that.
   void on_all_answered();
 
   /// Queues the final answer to the call with the tag, to be written at the end of the turn. Rejects the
@@ -111,8 +111,8 @@
   /// Counts a call that was rejected through a fault of the client, and rejects further input beyond a limit.
   /// Without the limit, a client that retries a rejected call immediately would do so forever.
   void count_rejected_call();
-  /// Discards all further input, and closes the connection once open calls have their final answers. Used
-  /// after protocol errors, for clients that exceed limits, and at shutdown.
+  /// Ignores all further requests but cancels, and closes the connection once open calls have their final
+  /// answers. Used after protocol errors, for clients that exceed limits, and at shutdown.
   void reject_input();
   /// Ends the connection gracefully once all queued bytes are written.
   void close();
@@ -130,7 +130,7 @@
   net::Loop::TimerId request_timer_{};
   bool awaits_request_ = true;     // no request yet, or the current one is incomplete
   bool request_overdue_ = false;   // the current request was not complete in time
-  bool rejected_ = false;          // input is discarded
+  bool rejected_ = false;          // further requests but cancels are ignored
   bool has_sent_request_ = false;  // at least one complete request
   std::size_t rejected_calls_ = 0;
   std::optional<core::Millis> waiting_since_;
@@ -144,6 +144,7 @@
   void update_request_timer(bool request_complete);
   void on_request_overdue();
   void update_arrival_time();
+  void process(std::vector<Message>&& requests);
   void report_buffered_bytes(std::size_t bytes);
   void backlog_discarded() override;
   void received(std::string_view bytes) override;
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -155,6 +155,7 @@
   if (!id) return connection.cancelled_after_answer(tag);
   calls_.remove(*id);
   dispatcher_.abandon(*id);
+  if (connection.open_calls() == 0) connection.on_all_answered();
 }
 
 // Lack of memory is no fault of the client, so its connection goes on, however often that happens. But a
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -53,8 +53,8 @@
   bool all_written() const { return connections_.all_written(); }
   /// True if a request has been received in part.
   bool has_partial_request() const { return connections_.any_partial_request(); }
-  /// Begins to close all connections. Further input is discarded; each connection ends once its open calls
-  /// are answered and all bytes are written.
+  /// Begins to close all connections. Further requests but cancels are ignored; each connection ends once its
+  /// open calls are answered and all bytes are written.
   void close_connections() { connections_.reject_all_input(); }
   /// True if there are no connections.
   bool closed() const { return connections_.empty(); }
--- a/tests/invoker/client_close_test.cpp
+++ b/tests/invoker/client_close_test.cpp
@@ -174,6 +174,32 @@
   CHECK(p.host().execs == 1);
 }
 
+// Guards against a failure found after a review: a cancel that followed a protocol error was thrown away, and
+// the call that its client had left went on.
+TEST_CASE("a call is cancelled also after a protocol error, and its connection ends") {
+  std::string rejected_calls;
+  for (int i = 0; i < 65; ++i) rejected_calls += request({"CALL", std::to_string(100 + i), "bin-record"});
+  const std::string fault =
+      GENERATE_COPY(request({"CALL", "0"}), request({"CALL"}), call("2") + call("2", "y"), rejected_calls);
+  const bool same_write = GENERATE(true, false);
+  FrontHarness p;
+  p.keep_host_silent();
+  RawClient client(p.front.address());
+  client.send_all(p, call("1"));
+  REQUIRE(p.turn_until([&] { return p.host().execs == 1; }));
+  if (same_write) {
+    client.send_all(p, fault + request({"CANCEL", "1"}));
+  } else {
+    client.send_all(p, fault);
+    for (int i = 0; i < 3; ++i) p.world.turn();
+    client.send_all(p, request({"CANCEL", "1"}));
+  }
+  CHECK(client.read_to_end(p) != State::open);
+  CHECK(client.status_of("1").empty());
+  CHECK(p.turn_until([&] { return p.host().cancels >= 1; }));
+  CHECK(p.world.dispatcher.open_calls() == 0);
+}
+
 // Guards against not reading a connection after a protocol error: the invoker would not notice that the
 // client closed, and would keep the attempt running.
 TEST_CASE("the attempt of a client that closes after a protocol error is cancelled") {
