RESP: all requests on a connection beyond the limit are refused until it ends

Found by asking of each place that refuses what becomes of requests sent on.

Change: such a connection refuses request by request and shuts down only once no input is left unread, so what comes in the rest of the turn is answered too. It holds its descriptor for rejected_timeout or 64 requests at most, and counts among the closing connections from its first reply or its second turn on.

Result: of 33 requests sent at once all get their reply in the new test; a second one guards the bound for clients that never stop.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -58,7 +58,8 @@
 
 void Stream::flush() {
   if (!end_requested_) flush_now();
-  if (ends_when_written_ && outbox_.empty() && !ending()) linger();
+  const bool is_shutdown_due = ends_when_written_ && outbox_.empty() && !ending();
+  if (is_shutdown_due && may_shut_down()) linger();
   if (end_requested_) end();
 }
 
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -75,6 +75,9 @@
   virtual void connected() {}
   /// Called with input; `bytes` is valid only during the call.
   virtual void received(std::string_view bytes) = 0;
+  /// Called when all bytes are written and the stream is about to shut down sending, as `end_when_written`
+  /// asked for. If it returns false, the stream stays open until the next call of `end_when_written`.
+  virtual bool may_shut_down() { return true; }
   /// Called once, after the socket was closed. No further notification follows.
   virtual void ended() = 0;
   /// Called when the unwritten bytes of the stream were discarded in favour of other connections, as the peer
--- a/src/resp/connection.cpp
+++ b/src/resp/connection.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr std::size_t kMaxRejectedCalls = 64;      // per connection
+constexpr std::size_t kMaxRefusedRequests = 64;    // per connection; more than may be open at once
 constexpr std::size_t kMaxUnreadBytes = 1U << 20;  // replies not written to the socket yet, per connection
 
 // Drops calls whose cancellation was read together with them, and returns their number. Each would cause work
@@ -100,7 +101,11 @@
   end_when_written();
   // Bounds the time for which a client that does not read its answers holds the descriptor.
   restart_timer(limits_.request_timeout, [this] { end_later(); });
-  observer_.on_closing(*this);
+  report_closing();
+}
+
+void Connection::report_closing() {
+  if (!std::exchange(closing_reported_, true)) observer_.on_closing(*this);
 }
 
 void Connection::restart_timer(core::Millis delay, std::function<void()> callback) {
@@ -121,6 +126,7 @@
     loop().cancel(request_timer_);
     request_overdue_ = false;
     keep_open();  // the request became complete in the turn in which the last open call was answered
+    closing_reported_ = false;
   }
   if (partial && (!awaits_request_ || request_complete)) restart_request_timer();
   awaits_request_ = partial || !has_sent_request_;
@@ -152,11 +158,12 @@
   const bool request_complete = !requests.empty();
   if (request_complete && !rejected_) {
     has_sent_request_ = true;
-    if (!observer_.on_requests_read(*this)) return observer_.on_refused(*this, requests);
+    if (!refused_ && !observer_.on_requests_read(*this)) begin_refusal();
   }
-  if (!rejected_) update_request_timer(request_complete);
   const std::size_t dropped = drop_cancelled_calls(requests, open_calls_);
   if (dropped > 0) counters_.add(core::Counter::resp_taken_back, dropped);
+  if (refused_) return refuse(requests, well_formed);
+  if (!rejected_) update_request_timer(request_complete);
   process(std::move(requests));
   if (well_formed) return;
   if (!rejected_) counters_.add(core::Counter::resp_malformed);
@@ -174,6 +181,30 @@
   }
 }
 
+// The connection stays open until no input is left unread, for `Limits::rejected_timeout` at most.
+void Connection::begin_refusal() {
+  counters_.add(core::Counter::resp_no_place);
+  refused_ = true;
+  restart_timer(limits_.rejected_timeout, [this] { end_later(); });
+}
+
+// The client has done nothing wrong, so all requests that come before the end of the connection get a reply,
+// up to a bound for clients that never stop.
+void Connection::refuse(const std::vector<Message>& requests, bool well_formed) {
+  for (const auto& request : requests) observer_.on_refused_request(*this, request);
+  refused_requests_ += requests.size();
+  const bool is_over_limit = refused_requests_ > kMaxRefusedRequests;
+  if (!well_formed || is_over_limit) stop_receiving();
+  if (outbox().appended() > 0) report_closing();
+  end_when_written();
+}
+
+bool Connection::may_shut_down() {
+  const bool must_read = refused_ && !discards_input() && has_input();
+  if (must_read) report_closing();
+  return !must_read;
+}
+
 void Connection::report_buffered_bytes(std::size_t bytes) {
   const std::size_t before = std::exchange(reported_buffered_bytes_, bytes);
   if (bytes != before) {
--- a/src/resp/connection.h
+++ b/src/resp/connection.h
@@ -29,11 +29,11 @@
 class ConnectionObserver {
  public:
   virtual ~ConnectionObserver() = default;
-  /// Called when complete requests were read. Returns false if there is no capacity for the connection;
-  /// `on_refused` is called next in that case.
+  /// Called when complete requests were read. Returns false if there is no capacity for the connection.
   virtual bool on_requests_read(Connection& connection) = 0;
-  /// Called with requests that must not be processed. The observer replies to them and ends the connection.
-  virtual void on_refused(Connection& connection, const std::vector<Message>& requests) = 0;
+  /// Called for each request of a connection for which there is no capacity, in the order in which they were
+  /// received. The connection ends once it has no more input.
+  virtual void on_refused_request(Connection& connection, const Message& request) = 0;
   /// Called for each request, in the order in which they were received.
   virtual void on_request(Connection& connection, Message&& request) = 0;
   /// Returns true if the connection may buffer `bytes` more of a request.
@@ -130,9 +130,12 @@
   net::Loop::TimerId request_timer_{};
   bool awaits_request_ = true;     // no request yet, or the current one is incomplete
   bool request_overdue_ = false;   // the current request was not complete in time
+  bool refused_ = false;           // there is no capacity for the connection, which ends
+  bool closing_reported_ = false;  // `on_closing` was called
   bool rejected_ = false;          // further requests but cancels are ignored
   bool has_sent_request_ = false;  // at least one complete request
   std::size_t rejected_calls_ = 0;
+  std::size_t refused_requests_ = 0;
   std::optional<core::Millis> waiting_since_;
   std::optional<core::Millis> first_read_;  // start of the turn of the first read
   // Set by `ConnectionTable`: the list that contains the connection, and the position in it.
@@ -145,6 +148,10 @@
   void on_request_overdue();
   void update_arrival_time();
   void process(std::vector<Message>&& requests);
+  void begin_refusal();
+  void refuse(const std::vector<Message>& requests, bool well_formed);
+  void report_closing();
+  bool may_shut_down() override;
   void report_buffered_bytes(std::size_t bytes);
   void backlog_discarded() override;
   void received(std::string_view bytes) override;
--- a/src/resp/connection_table.cpp
+++ b/src/resp/connection_table.cpp
@@ -32,9 +32,8 @@
 bool ConnectionTable::activate(Connection& connection) {
   const bool is_active = connection.list_ == &active_;
   const bool has_capacity = is_active || active_.size() < limits_.max_active || evict_idle();
-  if (!has_capacity) return false;
-  move_to_back(active_, connection);
-  return true;
+  move_to_back(has_capacity ? active_ : refused_, connection);
+  return has_capacity;
 }
 
 // Returns false if no active connection is idle.
--- a/src/resp/connection_table.h
+++ b/src/resp/connection_table.h
@@ -23,8 +23,9 @@
   void add_pending(std::shared_ptr<Connection> connection);
   /// Makes the connection the most recent active one, as a complete request was received. A connection that
   /// is active already stays so, whatever the limit. For another one beyond the limit, closes the idle
-  /// connection with the oldest last request; returns false, and leaves the connection where it is, if none
-  /// is idle. Cost then: one poll(2) for each active connection that appears idle, until one is.
+  /// connection with the oldest last request. Returns false if none is idle; the connection then counts in no
+  /// state until it begins to close. Cost beyond the limit: one poll(2) for each active connection that
+  /// appears idle, until one is.
   bool activate(Connection& connection);
   /// Moves the connection to the closing state. Beyond the limit, closes the socket of the connection that
   /// has been closing for longest, without waiting for its client.
@@ -39,7 +40,7 @@
   bool all_written() const;
   /// True if an active or pending connection has received a part of a request.
   bool any_partial_request() const;
-  bool empty() const { return active_.empty() && pending_.empty() && closing_.empty(); }
+  bool empty() const { return active_.empty() && pending_.empty() && closing_.empty() && refused_.empty(); }
 
  private:
   core::Counters& counters_;
@@ -47,6 +48,7 @@
   ConnectionList active_;   // ordered by last request, oldest first
   ConnectionList pending_;  // ordered by accept, oldest first
   ConnectionList closing_;  // ordered by start of the close, oldest first
+  ConnectionList refused_;  // by `activate`, until the end of the turn or until they begin to close
 
   static void move_to_back(ConnectionList& list, Connection& connection);
   bool evict_idle();
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -68,18 +68,17 @@
 
 bool Front::on_requests_read(Connection& connection) { return connections_.activate(connection); }
 
-// Refuses the calls of a connection beyond the limit, replies to its health checks, and ends it. Nothing is
-// passed to the dispatcher.
-void Front::on_refused(Connection& connection, const std::vector<Message>& requests) {
-  counters_.add(core::Counter::resp_no_place);
-  for (const auto& request : requests) {
-    const Words& words = request.words;
-    if (words.size() < 2) continue;
-    const std::string& tag = words[1];
-    if (words[0] == "CALL") connection.reply(tag, encode_status(tag, core::CallStatus::refused));
-    if (words[0] == "CHECK") reply_health(connection, tag);
+// Nothing is passed to the dispatcher.
+void Front::on_refused_request(Connection& connection, const Message& request) {
+  const auto decoded = decode_header(request.words);
+  const auto* const header = std::get_if<RequestHeader>(&decoded);
+  if (header == nullptr) return;
+  switch (header->kind) {
+    case RequestKind::call:
+      return connection.reply(header->tag, encode_status(header->tag, core::CallStatus::refused));
+    case RequestKind::cancel: return;  // no call is open
+    case RequestKind::check: return reply_health(connection, header->tag);
   }
-  connection.reject_input();
 }
 
 void Front::on_request(Connection& connection, Message&& request) {
--- a/src/resp/front.h
+++ b/src/resp/front.h
@@ -78,7 +78,7 @@
   void on_accepted(net::Socket socket, std::optional<core::Millis> waiting_since) override;
 
   bool on_requests_read(Connection& connection) override;
-  void on_refused(Connection& connection, const std::vector<Message>& requests) override;
+  void on_refused_request(Connection& connection, const Message& request) override;
   void on_request(Connection& connection, Message&& request) override;
   bool may_buffer(const Connection& connection, std::size_t bytes) override;
   void on_buffered_changed(std::ptrdiff_t change) override { buffered_bytes_ += change; }
--- a/tests/invoker/client_close_test.cpp
+++ b/tests/invoker/client_close_test.cpp
@@ -355,6 +355,64 @@
   CHECK(p.count(core::Counter::resp_no_place) == 1);
 }
 
+// Receives a few bytes at a time, so that what a client sends at once is read in many turns.
+class SlowReceive final : public net::SystemCalls {
+  ssize_t receive(int fd, void* buffer, std::size_t size) override {
+    constexpr std::size_t kMost = 100;
+    return SystemCalls::receive(fd, buffer, std::min(size, kMost));
+  }
+};
+
+// Guards against a failure found after a review: on a connection beyond the limit only the requests of the
+// first read were refused, and those behind them were thrown away.
+TEST_CASE("all requests that a client sends at once on a connection beyond the limit are refused") {
+  constexpr int kCalls = 32;
+  resp::Front::Limits limits;
+  limits.max_active = 1;
+  FrontHarness p(limits);
+  p.keep_host_silent();
+  RawClient active(p.front.address());
+  active.send_all(p, call("1"));
+  REQUIRE(p.turn_until([&] { return p.host().execs == 1; }));
+  SlowReceive calls;
+  const net::ScopedSystemCalls scoped(calls);
+  RawClient late(p.front.address());
+  std::string bytes = request({"CHECK", "1", ""});
+  for (int i = 0; i < kCalls; ++i) bytes += call(std::to_string(100 + i));
+  late.send_all(p, bytes);
+  CHECK(late.read_to_end(p) == State::closed_in_order);
+  REQUIRE(late.answers().size() == 1 + kCalls);
+  CHECK(late.status_of("1") == "UP");
+  for (int i = 0; i < kCalls; ++i) CHECK(late.status_of(std::to_string(100 + i)) == "BUSY");
+  CHECK(p.count(core::Counter::resp_no_place) == 1);
+  CHECK(p.host().execs == 1);
+  CHECK(active.read() == State::open);
+}
+
+// Guards the bound on how long a client that never stops may hold a connection beyond the limit.
+TEST_CASE("a connection beyond the limit ends although its client does not stop sending") {
+  resp::Front::Limits limits;
+  limits.max_active = 1;
+  FrontHarness p(limits);
+  p.keep_host_silent();
+  RawClient active(p.front.address());
+  active.send_all(p, call("1"));
+  REQUIRE(p.turn_until([&] { return p.host().execs == 1; }));
+  const bool replied = GENERATE(true, false);
+  RawClient late(p.front.address());
+  std::string flood;
+  int tag = 0;
+  CHECK(p.turn_until([&] {
+    while (flood.size() < 65536) {
+      flood += request({replied ? "CALL" : "CANCEL", std::to_string(++tag), "bin-record", "-", "x"});
+    }
+    late.send_some(flood);
+    return late.read() != State::open;
+  }));
+  CHECK(p.count(core::Counter::resp_no_place) == 1);
+  CHECK(active.read() == State::open);
+}
+
 // Hides from the event loop that the first accepted connection is readable. Calls of poll(2) for a single
 // descriptor are passed through.
 class FirstConnectionHidden final : public net::SystemCalls {
