--- a/src/resp/connection_table.cpp
+++ b/src/resp/connection_table.cpp
@@ -50,6 +50,7 @@
   if (closing_.size() <= std::max<std::size_t>(limits_.max_closing, 1)) return;
   counters_.add(core::Counter::resp_linger_cut);
   const std::shared_ptr<Connection> oldest = closing_.front();
+  oldest->flush_now();  // its last answers may have been queued in this turn
   oldest->end_later();
   oldest->flush();
 }
--- a/src/resp/connection_table.h
+++ b/src/resp/connection_table.h
@@ -27,8 +27,8 @@
   /// state until it begins to close. Cost beyond the limit: one poll(2) for each active connection that
   /// appears idle, until one is.
   bool activate(Connection& connection);
-  /// Moves the connection to the closing state. Beyond the limit, closes the socket of the connection that
-  /// has been closing for longest, without waiting for its client.
+  /// Moves the connection to the closing state. Beyond the limit, writes what the socket takes of the answers
+  /// of the connection that has been closing for longest, and closes it without waiting for its client.
   void begin_closing(Connection& connection);
   /// Removes a connection whose socket is closed, and returns ownership to the caller.
   std::shared_ptr<Connection> remove(Connection& connection);
--- a/tests/invoker/client_close_test.cpp
+++ b/tests/invoker/client_close_test.cpp
@@ -307,6 +307,22 @@
   CHECK(p.count(core::Counter::resp_linger_cut) == kClients - 2);
 }
 
+// Guards against a failure found in review: with more closes in one turn than may be waiting, answers that
+// were queued in that turn were thrown away.
+TEST_CASE("each connection sends its answers when many begin to close in one turn") {
+  constexpr int kClients = 40;
+  FrontHarness p;
+  std::list<RawClient> clients;
+  for (int i = 0; i < kClients; ++i) clients.emplace_back(p.front.address());
+  REQUIRE(p.turn_until([&] { return p.count(core::Counter::resp_connections) == kClients; }));
+  for (auto& client : clients) client.send_all(p, request({"CHECK", "1", ""}) + kMalformedBytes);
+  for (auto& client : clients) {
+    client.read_to_end(p);
+    CHECK(client.status_of("1") == "UP");
+  }
+  CHECK(p.count(core::Counter::resp_linger_cut) > 0);
+}
+
 TEST_CASE("a health check on a connection beyond the limit is answered") {
   resp::Front::Limits limits;
   limits.max_active = 1;
