RESP: a refused connection that keeps sending ends within 0.5 s

A connection beyond the limit may have taken request_timeout for its first request already; with rejected_timeout on top, a bad client that sends half a request without end could have been held for 4 s with no reply, where 3 s is the bound. The time-out of a refusal is now a constant of its own.

--- a/src/resp/connection.cpp
+++ b/src/resp/connection.cpp
@@ -7,8 +7,11 @@
 namespace pathstack::resp {
 namespace {
 
-constexpr std::size_t kMaxRejectedCalls = 64;      // per connection
-constexpr std::size_t kMaxRefusedRequests = 64;    // per connection; more than may be open at once
+constexpr std::size_t kMaxRejectedCalls = 64;    // per connection
+constexpr std::size_t kMaxRefusedRequests = 64;  // per connection; more than may be open at once
+// For the input of a refused connection. With `Limits::request_timeout` before, its client waits for 3 s at
+// most.
+constexpr core::Millis kRefusalTimeout{500};
 constexpr std::size_t kMaxUnreadBytes = 1U << 20;  // replies not written to the socket yet, per connection
 
 // Drops calls whose cancellation was read together with them, and returns their number. Each would cause work
@@ -181,11 +184,11 @@
   }
 }
 
-// The connection stays open until no input is left unread, for `Limits::rejected_timeout` at most.
+// The connection stays open until no input is left unread, for `kRefusalTimeout` at most.
 void Connection::begin_refusal() {
   counters_.add(core::Counter::resp_no_place);
   refused_ = true;
-  restart_timer(limits_.rejected_timeout, [this] { end_later(); });
+  restart_timer(kRefusalTimeout, [this] { end_later(); });
 }
 
 // The client has done nothing wrong, so all requests that come before the end of the connection get a reply,
