RESP: clients that repeat refused calls at once no longer displace usual ones

- The invoker was busy with refusals.
Now a client that is refused over 100 times a second waits: its input stays in the kernel, for 80 ms at most, and is answered then.
Now those that were closed by their clients are ended first.

Unit test of the rate; a close is noticed while input waits; a closed connection makes room for one that is read before it.

--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -28,13 +28,29 @@
 
 Stream::~Stream() {
   loop_.cancel(linger_timer_);
+  loop_.cancel(resume_timer_);
   loop_.unwatch(socket_.fd(), *this);
 }
 
 void Stream::watch() {
-  const bool reads = !connecting();
+  const int reads = reading_paused_ ? POLLRDHUP : POLLIN;
   const bool writes = connecting() || !outbox_.empty();
-  loop_.watch(socket_.fd(), *this, static_cast<short>((reads ? POLLIN : 0) | (writes ? POLLOUT : 0)));
+  loop_.watch(socket_.fd(), *this, static_cast<short>((connecting() ? 0 : reads) | (writes ? POLLOUT : 0)));
+}
+
+void Stream::pause_reading(Millis delay) {
+  if (!socket_ || phase_ == Phase::lingering) return;
+  loop_.cancel(resume_timer_);
+  resume_timer_ = loop_.at(loop_.now() + delay, [this] { resume_reading(); });
+  reading_paused_ = true;
+  watch();
+}
+
+void Stream::resume_reading() {
+  if (!socket_ || !reading_paused_) return;
+  loop_.cancel(resume_timer_);
+  reading_paused_ = false;
+  watch();
 }
 
 void Stream::write(std::string_view bytes) {
@@ -71,6 +87,7 @@
     end_requested_ = true;
     return;
   }
+  resume_reading();
   phase_ = Phase::lingering;
   discards_input_ = true;
   linger_timer_ = loop_.at(loop_.now() + kLingerTimeout, [this] { end_later(); });
@@ -100,6 +117,11 @@
   return system_calls().poll(&descriptor, 1, 0) != 0;
 }
 
+bool Stream::closed_by_peer() const {
+  pollfd descriptor{socket_.fd(), POLLRDHUP, 0};
+  return system_calls().poll(&descriptor, 1, 0) > 0;
+}
+
 void Stream::outbox_discarded() {
   backlog_discarded();
   end_later();
@@ -112,6 +134,7 @@
 void Stream::end() {
   if (!socket_) return;
   loop_.cancel(linger_timer_);
+  loop_.cancel(resume_timer_);
   loop_.unwatch(socket_.fd(), *this);
   socket_.close();
   phase_ = Phase::closed;
@@ -131,12 +154,13 @@
     return connected();
   }
   if ((events & POLLOUT) != 0) loop_.flush_later(*this);
-  if ((events & (POLLIN | POLLHUP | POLLERR)) != 0) read();
+  if ((events & (POLLRDHUP | POLLHUP | POLLERR)) != 0) resume_reading();
+  if ((events & (POLLIN | POLLRDHUP | POLLHUP | POLLERR)) != 0) read();
 }
 
 void Stream::read() {
   auto& block = loop_.read_buffer();
-  for (int i = 0; i < kReadsPerTurn && socket_ && !end_requested_; ++i) {
+  for (int i = 0; i < kReadsPerTurn && socket_ && !end_requested_ && !reading_paused_; ++i) {
     const ssize_t size_read = system_calls().receive(socket_.fd(), block.data(), block.size());
     if (size_read < 0 && errno == EINTR) continue;
     if (size_read < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return;
--- a/src/net/stream.h
+++ b/src/net/stream.h
@@ -53,6 +53,10 @@
   /// Revokes `end_when_written`. No effect once sending is shut down.
   void keep_open() { ends_when_written_ = false; }
 
+  /// Leaves input in the kernel for `delay`, in place of an earlier pause. A close by the peer ends the
+  /// pause.
+  void pause_reading(Millis delay);
+
   /// Discards further input instead of passing it to `received`. A close by the peer still ends the stream.
   void stop_receiving() { discards_input_ = true; }
   bool discards_input() const { return discards_input_; }
@@ -64,6 +68,9 @@
   bool ending() const { return end_requested_ || phase_ == Phase::lingering || phase_ == Phase::closed; }
   /// True if poll(2) reports unread bytes, a close or an error, or fails. Cost: one system call.
   bool has_input() const;
+  /// True if the peer has closed or reset the connection, also if input before that is unread. Cost: one
+  /// system call.
+  bool closed_by_peer() const;
   const Outbox& outbox() const { return outbox_; }
   StreamEnd end_cause() const { return end_cause_; }
 
@@ -102,12 +109,15 @@
   bool end_requested_ = false;      // close at the end of this turn, in any phase
   bool ends_when_written_ = false;  // linger once all bytes are written
   bool discards_input_ = false;
+  bool reading_paused_ = false;
+  Loop::TimerId resume_timer_{};
   std::size_t discarded_after_shutdown_ = 0;
   Loop::TimerId linger_timer_{};
   StreamEnd end_cause_ = StreamEnd::local;
 
   void watch();
   void linger();
+  void resume_reading();
   void discard_input(std::size_t size);
   void outbox_discarded();
   void read();
--- a/src/resp/connection.cpp
+++ b/src/resp/connection.cpp
@@ -85,6 +85,15 @@
   reject_input();
 }
 
+void Connection::pace_refusals() {
+  const core::Millis wait = refusal_pacer_.note(loop().turn_began());
+  if (wait.count() <= 0) return;
+  pause_reading(wait);
+  // What is read next may have come as early as now.
+  waiting_since_ = loop().turn_began();
+  first_read_.reset();
+}
+
 void Connection::count_rejected_call() {
   if (++rejected_calls_ <= kMaxRejectedCalls) return;
   counters_.add(core::Counter::resp_faults_closed);
--- a/src/resp/connection.h
+++ b/src/resp/connection.h
@@ -17,6 +17,7 @@
 #include "net/stream.h"
 #include "resp/limits.h"
 #include "resp/parser.h"
+#include "resp/refusal_pacer.h"
 #include "resp/unwritten_answers.h"
 
 namespace pathstack::resp {
@@ -108,6 +109,9 @@
   /// Called when the client has cancelled a call that is not open. If the answer is not written yet, the call
   /// no longer counts in `unanswered_calls`.
   void cancelled_after_answer(const std::string& tag) { unwritten_answers_.remove_cancelled(tag); }
+  /// Called when a call was refused through no fault of the client. Beyond a rate, the input of the
+  /// connection waits in the kernel for a moment.
+  void pace_refusals();
   /// Counts a call that was rejected through a fault of the client, and rejects further input beyond a limit.
   /// Without the limit, a client that retries a rejected call immediately would do so forever.
   void count_rejected_call();
@@ -126,6 +130,7 @@
   std::unordered_map<std::string, core::CallId> open_calls_;  // by tag
   std::size_t call_bytes_ = 0;                                // held by the open calls
   UnwrittenAnswers unwritten_answers_;
+  RefusalPacer refusal_pacer_;
   std::size_t reported_buffered_bytes_ = 0;  // as last passed to the observer
   net::Loop::TimerId request_timer_{};
   bool awaits_request_ = true;     // no request yet, or the current one is incomplete
--- a/src/resp/connection_table.cpp
+++ b/src/resp/connection_table.cpp
@@ -31,11 +31,23 @@
 
 bool ConnectionTable::activate(Connection& connection) {
   const bool is_active = connection.list_ == &active_;
+  if (!is_active && active_.size() >= limits_.max_active) end_closed();
   const bool has_capacity = is_active || active_.size() < limits_.max_active || evict_idle();
   move_to_back(has_capacity ? active_ : refused_, connection);
   return has_capacity;
 }
 
+// Ends active connections whose clients have closed them. Their input may be due later in this turn, and
+// until then they would take the places of others.
+void ConnectionTable::end_closed() {
+  const core::Millis turn = clock_();
+  if (std::exchange(closed_ended_at_, turn) == turn) return;
+  const std::vector<std::shared_ptr<Connection>> open(active_.begin(), active_.end());
+  for (const auto& connection : open) {
+    if (connection->closed_by_peer()) connection->ready(POLLIN | POLLRDHUP);
+  }
+}
+
 // Returns false if no active connection is idle.
 bool ConnectionTable::evict_idle() {
   const auto found = std::find_if(active_.begin(), active_.end(), is_idle);
--- a/src/resp/front.cpp
+++ b/src/resp/front.cpp
@@ -34,7 +34,7 @@
       counters_(counters),
       limits_(limits),
       listener_(loop, counters, *this),
-      connections_(counters, limits_) {}
+      connections_([&loop] { return loop.turn_began(); }, counters, limits_) {}
 
 void Front::set_memory_budget(core::MemoryBudget& budget) {
   memory_ = &budget;
@@ -165,6 +165,7 @@
   }
   counters_.add(core::Counter::resp_no_memory);
   connection.reply(tag, encode_status(tag, core::CallStatus::refused));
+  connection.pace_refusals();
 }
 
 // Rejects a call that no client within the protocol sends.
--- a/tests/invoker/client_close_test.cpp
+++ b/tests/invoker/client_close_test.cpp
@@ -6,6 +6,7 @@
 #include <catch2/catch.hpp>
 #include <cerrno>
 #include <list>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -338,39 +339,63 @@
   CHECK(active.read() == State::open);
 }
 
+// Two active connections with an open call each, which are all that there may be, and a new one that the loop
+// reads before them.
+struct FullTable {
+  FrontHarness p{two_active()};
+  RawClient first{p.front.address()};
+  std::optional<RawClient> busy, other, late;
+  FullTable() {
+    p.keep_host_silent();
+    first.send_all(p, request({"CHECK", "1", ""}));
+    REQUIRE(first.has_answer(p, "1"));
+    busy.emplace(p.front.address());
+    other.emplace(p.front.address());
+    busy->send_all(p, call("1"));
+    other->send_all(p, call("2"));
+    REQUIRE(p.turn_until([&] { return p.host().execs == 2; }));
+    REQUIRE(first.read_to_end(p) == State::closed_in_order);
+    first.close();
+    for (int i = 0; i < 3; ++i) p.world.turn();
+    late.emplace(p.front.address());  // gets the descriptor of the first connection
+    REQUIRE(p.turn_until([&] { return p.count(core::Counter::resp_connections) == 4; }));
+  }
+  static resp::Front::Limits two_active() {
+    resp::Front::Limits limits;
+    limits.max_active = 2;
+    return limits;
+  }
+};
+
 // Guards against a failure found in review: a connection with open calls was taken for one too many when a
 // new one was read before it, and what its client sent from then on was thrown away.
 TEST_CASE("a connection with open calls is not refused for a new one that is read before it") {
-  resp::Front::Limits limits;
-  limits.max_active = 2;
-  FrontHarness p(limits);
-  p.keep_host_silent();
-  RawClient first(p.front.address());
-  first.send_all(p, request({"CHECK", "1", ""}));
-  REQUIRE(first.has_answer(p, "1"));
-  RawClient busy(p.front.address()), other(p.front.address());
-  busy.send_all(p, call("1"));
-  other.send_all(p, call("2"));
-  REQUIRE(p.turn_until([&] { return p.host().execs == 2; }));
-  REQUIRE(first.read_to_end(p) == State::closed_in_order);
-  first.close();
-  for (int i = 0; i < 3; ++i) p.world.turn();
-  // Gets the descriptor of the first connection, so the loop reads it before the busy one.
-  RawClient late(p.front.address());
-  REQUIRE(p.turn_until([&] { return p.count(core::Counter::resp_connections) == 4; }));
-  late.send_all(p, request({"CANCEL", "7"}) + "*2\r\n$5\r\n");
-  busy.send_all(p, call("3"));
+  FullTable table;
+  FrontHarness& p = table.p;
+  table.late->send_all(p, request({"CANCEL", "7"}) + "*2\r\n$5\r\n");
+  table.busy->send_all(p, call("3"));
   REQUIRE(p.turn_until([&] { return p.count(core::Counter::resp_no_place) >= 1; }));
   CHECK(p.turn_until([&] { return p.host().execs == 3; }));
-  busy.send_all(p, request({"CANCEL", "1"}));
+  table.busy->send_all(p, request({"CANCEL", "1"}));
   CHECK(p.turn_until([&] { return p.host().cancels == 1; }));
   p.answer_from_host(ref_of("3"));
-  REQUIRE(busy.has_answer(p, "3"));
-  CHECK(busy.answers() == std::vector<resp::Words>{{"3", "OK", "", "x"}});
-  CHECK(late.read_to_end(p) != State::open);
+  REQUIRE(table.busy->has_answer(p, "3"));
+  CHECK(table.busy->answers() == std::vector<resp::Words>{{"3", "OK", "", "x"}});
+  CHECK(table.late->read_to_end(p) != State::open);
   CHECK(p.count(core::Counter::resp_no_place) == 1);
 }
 
+// Guards against refusals and evictions for the sake of connections that their clients have closed already.
+TEST_CASE("a connection that its client has closed makes room for one that is read before it") {
+  FullTable table;
+  FrontHarness& p = table.p;
+  table.other->close();
+  table.late->send_all(p, call("3"));
+  CHECK(p.turn_until([&] { return p.host().execs == 3; }));
+  CHECK(p.host().cancels == 1);
+  CHECK(p.count(core::Counter::resp_no_place) == 0);
+}
+
 // Receives a few bytes at a time, so that what a client sends at once is read in many turns.
 class SlowReceive final : public net::SystemCalls {
   ssize_t receive(int fd, void* buffer, std::size_t size) override {
--- a/tests/invoker/memory_budget_test.cpp
+++ b/tests/invoker/memory_budget_test.cpp
@@ -8,6 +8,7 @@
 
 #include "hosts/line_parser.h"
 #include "resp/parser.h"
+#include "resp/refusal_pacer.h"
 #include "support/platform.h"
 #include "triggers.h"
 
@@ -145,6 +146,49 @@
   CHECK(p.world.counters.value(core::Counter::resp_faults_closed) == 0);
 }
 
+// Guards against clients that repeat a refused call at once: they left usual clients too little time.
+TEST_CASE("a client that is refused too often has to wait, for a bounded time, and recovers") {
+  using resp::RefusalPacer;
+  RefusalPacer pacer;
+  const Millis start(1000);
+  for (int i = 0; i < static_cast<int>(RefusalPacer::kBurst); ++i) REQUIRE(pacer.note(start) == Millis(0));
+  CHECK(pacer.note(start).count() == Approx(10));
+  CHECK(pacer.note(start).count() == Approx(20));
+  for (int i = 0; i < 100; ++i) CHECK(pacer.note(start) <= RefusalPacer::kMaxWait);
+  CHECK(pacer.note(start) == RefusalPacer::kMaxWait);
+  // One refusal in 20 ms is within the rate.
+  Millis now = start + RefusalPacer::kMaxWait;
+  for (int i = 0; i < 100; ++i) {
+    now += Millis(20);
+    CHECK(pacer.note(now) == Millis(0));
+  }
+}
+
+// Guards against a close that is not noticed, and an attempt that goes on, while the input of its client
+// waits.
+TEST_CASE("a client that closes while its input waits is noticed at once") {
+  constexpr int kRefusals = 96, kAtOnce = 24;
+  FrontFixture p(1);
+  MemoryBudget budget(1U << 20, 4);
+  p.front.set_memory_budget(budget);
+  std::size_t others = 0;
+  budget.track(MemoryOwner::broker, [&] { return others; });
+  p.world.host[0]->react = [](const std::string&) { return Reaction{Reaction::silence, ""}; };
+  Client c(p.world, p.front.address());
+  c.call("1", "bin-record", "x", 1400);
+  REQUIRE(p.world.turn_until([&] { return p.world.host[0]->execs == 1; }, 20000));
+  others = 1U << 20;
+  for (int i = 0; i < kRefusals; ++i) {
+    c.call(std::to_string(100 + i), "bin-check", "x");
+    const bool is_batch_complete = (i + 1) % kAtOnce == 0;
+    if (is_batch_complete) REQUIRE(c.answer(std::to_string(100 + i)) != nullptr);
+  }
+  c.end_later();
+  // Without time for the wait: turns that do not wait for timers.
+  for (int i = 0; i < 3; ++i) p.world.loop.turn(p.world.loop.now(), [&] { p.world.dispatcher.tick(); });
+  CHECK(p.world.dispatcher.open_calls() == 0);
+}
+
 // Guards the bound on the work of a client that sends without limit while memory is short.
 TEST_CASE("a client that sends more calls at once than may be open is disconnected, also without memory") {
   constexpr int kMaxOpen = 32, kMaxRejected = 64;
