RESP: the answers noted as unwritten are bounded, also for clients that do not read

Found by reading the change again, not by a run. Each reply was noted with its tag until it was written. A client that does not read, or sends unknown verbs at full speed, could so make the invoker hold some 40 bytes for each short reply, about 2 MB a connection, which no budget counts.

Change: at most 32 are noted, as the count only has to tell whether so many calls are open.

Result: new unit test; the tests of refusals pass.

--- a/src/resp/unwritten_answers.h
+++ b/src/resp/unwritten_answers.h
@@ -14,12 +14,17 @@
 /// open.
 ///
 /// Positions are numbers of bytes since the start of the connection. Used by `Connection`. All operations are
-/// linear in the number of answers.
+/// linear in the number of answers, which is bounded, as a client that does not read may cause any number.
 class UnwrittenAnswers {
  public:
+  /// No client within the protocol has more calls open. Later answers are not noted.
+  static constexpr std::size_t kMaxNoted = 32;
+
   /// Adds the answer to the call with the tag. Its last byte is at `end`, which is not below those of earlier
   /// answers.
-  void add(const std::string& tag, std::uint64_t end) { answers_.push_back({tag, end}); }
+  void add(const std::string& tag, std::uint64_t end) {
+    if (answers_.size() < kMaxNoted) answers_.push_back({tag, end});
+  }
 
   /// Removes the answers that are complete among the first `written` bytes.
   void remove_written(std::uint64_t written) {
--- a/tests/invoker/memory_budget_test.cpp
+++ b/tests/invoker/memory_budget_test.cpp
@@ -9,6 +9,7 @@
 #include "hosts/line_parser.h"
 #include "resp/parser.h"
 #include "resp/refusal_pacer.h"
+#include "resp/unwritten_answers.h"
 #include "support/platform.h"
 #include "triggers.h"
 
@@ -189,6 +190,16 @@
   CHECK(p.world.dispatcher.open_calls() == 0);
 }
 
+// Guards against a client that does not read: its answers were noted without bound.
+TEST_CASE("the number of unwritten answers that are noted is bounded") {
+  resp::UnwrittenAnswers answers;
+  for (std::uint64_t i = 1; i <= 1000; ++i) answers.add(std::to_string(i), i);
+  CHECK(answers.size() == resp::UnwrittenAnswers::kMaxNoted);
+  answers.remove_cancelled("1");
+  answers.remove_written(10);
+  CHECK(answers.size() == resp::UnwrittenAnswers::kMaxNoted - 10);
+}
+
 // Guards the bound on the work of a client that sends without limit while memory is short.
 TEST_CASE("a client that sends more calls at once than may be open is disconnected, also without memory") {
   constexpr int kMaxOpen = 32, kMaxRejected = 64;
